--- /dev/null
+++ b/src/main/java/gladewing/benchlink/BenchLink.java
@@ -0,0 +1,141 @@
+package gladewing.benchlink;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import gladewing.router.Time;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Speaks the bench's wire: batches of events in, one reply a batch out, for many routers that share nothing. */
+public final class BenchLink {
+    private static final int LISTS = 16;
+
+    private final JsonParser in;
+    private final JsonGenerator out;
+    private final PrintStream complaints;
+    private final Map<String, Instance> instances = new HashMap<>();
+    private final Set<Instance> inTurn = new LinkedHashSet<>();
+    private final List<List<Message>> lists = new ArrayList<>(Collections.nCopies(LISTS, null));
+    private Time now;
+
+    public BenchLink(InputStream in, OutputStream out, PrintStream complaints) throws IOException {
+        JsonFactory json = new JsonFactoryBuilder().rootValueSeparator((String) null).build();
+        this.in = json.createParser(in);
+        this.out = json.createGenerator(out);
+        this.complaints = complaints;
+    }
+
+    /** Runs to the end of input; the result is the process's exit code. */
+    public int run() throws IOException {
+        try {
+            for (JsonToken token = in.nextToken(); token != null; token = in.nextToken()) {
+                if (token != JsonToken.START_OBJECT) {
+                    throw new BadMessage("not a JSON object");
+                }
+                handle(Message.read(in));
+            }
+            return 0;
+        } catch (BadMessage bad) {
+            complain(bad.getMessage());
+        } catch (JsonProcessingException bad) {
+            complain("not a JSON message: " + bad.getOriginalMessage());
+        }
+        return 1;
+    }
+
+    private void complain(String text) {
+        complaints.println("benchlink: line " + in.currentLocation().getLineNr() + ": " + text);
+    }
+
+    private void handle(Message message) throws IOException {
+        switch (message.name()) {
+            case "BATCH" -> now = Time.ofMillis(message.number("Time"));
+            case "EOF_BATCH" -> reply(message);
+            case "INVENTORY" -> lists.set(message.index("Slot", LISTS), message.objects("Elements"));
+            case "ENLIST" -> {
+                inBatch(message);
+                String name = message.text("I");
+                drop(name);
+                Instance fresh = new Instance(name, out, message.whole("Salt"), message.object("Facts"), now);
+                instances.put(name, fresh);
+                inTurn.add(fresh);
+            }
+            case "POWER_OFF" -> {
+                instance(message);
+                drop(message.text("I"));
+            }
+            case "ENDPOINTS" -> {
+                Instance instance = instance(message);
+                int scope = message.index("Scope", 4);
+                if (scope == Instance.LIST_FAILED) {
+                    instance.listFailed();
+                } else {
+                    List<Message> entries = lists.get(message.index("Slot", LISTS));
+                    if (entries == null) {
+                        throw message.wrong("Slot", "a list that was given");
+                    }
+                    instance.list(scope, entries);
+                }
+            }
+            case "REQUEST" -> instance(message).request(message);
+            case "FINISHED" -> instance(message).finished(message);
+            case "WITHDRAWN" -> instance(message).clientLeft(message);
+            case "DEADLINE_HIT" -> instance(message).wake(message);
+            case "SAMPLED" -> instance(message).probed(message);
+            case "FLOWING", "PEER" -> instance(message);
+            default -> throw new BadMessage(message.name() + ": unknown event");
+        }
+    }
+
+    private void inBatch(Message message) {
+        if (now == null) {
+            throw new BadMessage(message.name() + ": outside a batch");
+        }
+    }
+
+    private Instance instance(Message message) {
+        inBatch(message);
+        Instance instance = instances.get(message.text("I"));
+        if (instance == null) {
+            throw message.wrong("I", "an instance that was enlisted");
+        }
+        if (inTurn.add(instance)) {
+            instance.turn(now);
+        }
+        return instance;
+    }
+
+    private void drop(String name) {
+        Instance gone = instances.remove(name);
+        if (gone != null) {
+            inTurn.remove(gone);
+        }
+    }
+
+    private void reply(Message message) throws IOException {
+        inBatch(message);
+        for (Instance instance : inTurn) {
+            instance.endTurn();
+        }
+        inTurn.clear();
+        now = null;
+        out.writeStartObject();
+        out.writeStringField("m", "END");
+        out.writeEndObject();
+        out.writeRaw('\n');
+        out.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/benchlink/Facts.java
@@ -0,0 +1,78 @@
+package gladewing.benchlink;
+
+import gladewing.router.Settings;
+import gladewing.router.Span;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads the settings that an instance is given at its start. */
+final class Facts {
+    private Facts() { }
+
+    static Settings settings(Message facts) {
+        Message rules = facts.object("Rules");
+        Message allowed = facts.object("Permissions");
+        Message shards = facts.object("Specifics");
+        Message prices = facts.object("Prices");
+        boolean asked = facts.text("Discovery").equals("subscribe");
+        return new Settings(
+                (int) facts.whole("NInstances"),
+                span(facts, "Tick"),
+                new Settings.Rules(
+                        asked ? span(rules, "AskWithin") : Span.ZERO,
+                        rules.number("ColdFrom"), span(rules, "RampTime"),
+                        rules.number("OverloadFactor"), span(rules, "Fall"),
+                        Span.ofMillis(rules.number("BudgetSpan", 0)),
+                        rules.number("FreeResends", 0), rules.number("ResendRatio", 0)),
+                new Settings.Allowed(
+                        allowed.flag("MayProbe"), allowed.flag("Cancelling"), allowed.flag("SecondCopies"),
+                        (int) allowed.whole("TryLimit"), (int) allowed.whole("OpenCap"),
+                        allowed.flag("RetryAfter") ? span(allowed, "MaxRetryAfter") : Span.ZERO),
+                new Settings.Shards((int) shards.whole("Places"), (int) shards.whole("Reach"),
+                        (int) shards.whole("PerCall")),
+                products(facts, shards),
+                tenants(facts),
+                asked,
+                facts.has("Clients") && facts.object("Clients").flag("MarksRetry"),
+                facts.has("WorthBy") && facts.text("WorthBy").equals("work"),
+                facts.number("OverShareWorth", 1),
+                prices.number("LateFail", 0),
+                (int) facts.whole("Az", 0));
+    }
+
+    private static List<Settings.Product> products(Message facts, Message shards) {
+        List<Settings.Product> products = new ArrayList<>();
+        for (Message row : facts.objects("RequestClasses")) {
+            int at = products.size();
+            products.add(new Settings.Product(
+                    span(row, "Objective"), row.number("AimStretch", 0), span(row, "GiveUp"), row.number("Worth"),
+                    row.number("LateWorth", 0), effect(row), Span.ofMillis(row.number("DedupWindow", 0)),
+                    shards.number("FloorByClass", at, 1), shards.number("WholeAt", at, 1),
+                    shards.number("IncompleteWorth", at, 0), (int) shards.number("SecondStep", at, 0)));
+        }
+        return products;
+    }
+
+    private static Settings.Effect effect(Message row) {
+        return switch (row.text("Semantics")) {
+            case "read_like" -> Settings.Effect.REPEATABLE;
+            case "idempotency_key" -> Settings.Effect.TAGGED;
+            case "non_idempotent" -> Settings.Effect.ONCE_ONLY;
+            default -> throw row.wrong("Semantics", "a known kind");
+        };
+    }
+
+    private static List<Settings.Tenant> tenants(Message facts) {
+        List<Settings.Tenant> tenants = new ArrayList<>();
+        if (facts.has("Tenants")) {
+            for (Message row : facts.objects("Tenants")) {
+                tenants.add(new Settings.Tenant(row.number("QuotaRps", 0)));
+            }
+        }
+        return tenants;
+    }
+
+    private static Span span(Message message, String field) {
+        return Span.ofMillis(message.number(field));
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -0,0 +1,349 @@
+package gladewing.benchlink;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import gladewing.router.Outcome;
+import gladewing.router.Port;
+import gladewing.router.QueryRouter;
+import gladewing.router.Settings;
+import gladewing.router.Span;
+import gladewing.router.Time;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One router on the wire: ids to indices on the way in, and back on the way out. */
+final class Instance implements Port {
+    static final int LIST_FAILED = 3;
+    private static final Outcome[] OUTCOMES = {null, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMED_OUT,
+        Outcome.NOT_CONNECTED, Outcome.RESET, Outcome.WITHDRAWN, Outcome.NOT_SENT};
+    private static final int GONE = 0;
+    private static final int DRAINING = 2;
+
+    /** What is known of a multiget's wire ids, from its taking until it has ended and nothing of it is out. */
+    private static final class Held {
+        final long id;
+        final long number;
+        final int ref;
+        final List<Long> parts = new ArrayList<>();
+        QueryRouter.Multiget multiget;
+        int out;
+        boolean ended;
+
+        Held(long id, long number, int ref) {
+            this.id = id;
+            this.number = number;
+            this.ref = ref;
+        }
+    }
+
+    private record Place(Held held, int part) { }
+
+    private static final class Listed {
+        final long id;
+        int out;
+        boolean gone;
+
+        Listed(long id) {
+            this.id = id;
+        }
+    }
+
+    private final String name;
+    private final JsonGenerator json;
+    private final int products;
+    private final int tenants;
+    private final int shards;
+    private final int cells;
+    private final int[] steps;
+    private final QueryRouter router;
+    private final Map<Long, Place> places = new HashMap<>();
+    private final Map<Long, Held> byNumber = new HashMap<>();
+    private final List<Held> refs = new ArrayList<>();
+    private final Map<Long, Integer> nodeIndex = new HashMap<>();
+    private final List<Listed> nodes = new ArrayList<>();
+
+    Instance(String name, JsonGenerator json, long seed, Message facts, Time now) {
+        this.name = name;
+        this.json = json;
+        Settings settings = Facts.settings(facts);
+        this.products = settings.products().size();
+        this.tenants = Math.max(1, settings.tenants().size());
+        this.shards = (int) facts.object("Specifics").whole("Ranges");
+        this.cells = settings.shards().cells();
+        this.steps = settings.products().stream().mapToInt(Settings.Product::secondStep).toArray();
+        this.router = new QueryRouter(settings, seed, this, now);
+    }
+
+    void turn(Time now) {
+        router.turn(now);
+    }
+
+    void endTurn() {
+        router.endTurn();
+    }
+
+    void listFailed() {
+        router.listFailed();
+    }
+
+    /** Scope 0 holds changes only; in any other list, a node that is absent is gone. */
+    void list(int scope, List<Message> entries) {
+        boolean[] seen = new boolean[nodes.size() + entries.size()];
+        for (Message entry : entries) {
+            long id = entry.whole("Node");
+            int state = entry.index("Mode", 3);
+            Integer known = nodeIndex.get(id);
+            if (known == null && state == GONE) {
+                continue;
+            }
+            int index = known != null ? known : newNode(id);
+            seen[index] = true;
+            nodes.get(index).gone = state == GONE;
+            if (state == GONE) {
+                router.nodeGone(index);
+            } else {
+                double started = entry.number("StartedAt", 0);
+                router.nodeListed(index, entry.index("Position", cells), (int) entry.whole("Zone", 0),
+                        entry.number("Scale", 1), started > 0 ? Time.ofMillis(started) : null, state == DRAINING);
+            }
+        }
+        for (int i = 0; i < nodes.size(); i++) {
+            Listed node = nodes.get(i);
+            if (node != null && scope != 0 && !seen[i] && !node.gone) {
+                node.gone = true;
+                router.nodeGone(i);
+            }
+            letGoOfNode(i);
+        }
+        router.listCame();
+    }
+
+    private int newNode(long id) {
+        int index = nodes.indexOf(null);
+        if (index < 0) {
+            index = nodes.size();
+            nodes.add(null);
+        }
+        nodes.set(index, new Listed(id));
+        nodeIndex.put(id, index);
+        return index;
+    }
+
+    private void letGoOfNode(int index) {
+        Listed node = nodes.get(index);
+        if (node != null && node.gone && node.out == 0) {
+            nodeIndex.remove(node.id);
+            nodes.set(index, null);
+        }
+    }
+
+    void request(Message message) {
+        long id = message.whole("Tid");
+        long number = message.whole("WholeNo");
+        long shard = message.whole("Slab");
+        double heft = message.number("Heft");
+        double hint = message.number("WeightHint", 0);
+        if (shard < 0) {
+            int ref = refs.indexOf(null);
+            if (ref < 0) {
+                ref = refs.size();
+                refs.add(null);
+            }
+            Held held = new Held(id, number, ref);
+            refs.set(ref, held);
+            byNumber.put(number, held);
+            places.put(id, new Place(held, -1));
+            int tenant = message.has("Tenant") ? message.index("Tenant", tenants) : 0;
+            held.multiget = router.take(ref, message.index("Class", products), tenant,
+                    Span.ofMillis(message.number("Remaining")), message.flag("AgainByClient"));
+        } else {
+            if (shard >= shards) {
+                throw message.wrong("Slab", "a shard of this site");
+            }
+            Held held = byNumber.get(number);
+            if (held == null || held.ended) {
+                return;
+            }
+            places.put(id, new Place(held, held.parts.size()));
+            held.parts.add(id);
+            held.multiget.part((int) shard, heft, hint);
+        }
+    }
+
+    void finished(Message message) {
+        Place place = places.get(message.whole("Tid"));
+        int code = message.index("Code", OUTCOMES.length);
+        int hop = (int) message.whole("Hop");
+        if (place == null || place.part < 0) {
+            return;
+        }
+        if (OUTCOMES[code] == null) {
+            throw message.wrong("Code", "an outcome");
+        }
+        Integer node = nodeIndex.get(message.whole("Node"));
+        place.held.out--;
+        place.held.multiget.outcome(place.part, hop, OUTCOMES[code], Span.ofMillis(message.number("Duration")));
+        if (node != null) {
+            nodes.get(node).out--;
+            letGoOfNode(node);
+        }
+        letGo(place.held);
+    }
+
+    void clientLeft(Message message) {
+        Place place = places.get(message.whole("Tid"));
+        if (place == null || place.part >= 0 || place.held.ended) {
+            return;
+        }
+        place.held.ended = true;
+        place.held.multiget.clientLeft();
+        letGo(place.held);
+    }
+
+    void wake(Message message) {
+        message.whole("Label");
+        router.wake();
+    }
+
+    void probed(Message message) {
+        Integer node = nodeIndex.get(message.whole("Node"));
+        boolean runs = message.index("Code", OUTCOMES.length) == 1;
+        if (node != null) {
+            nodes.get(node).out--;
+            router.probed(node, runs);
+            letGoOfNode(node);
+        }
+    }
+
+    private void letGo(Held held) {
+        if (held.ended && held.out == 0 && refs.get(held.ref) == held) {
+            refs.set(held.ref, null);
+            byNumber.remove(held.number);
+            places.remove(held.id);
+            held.parts.forEach(places::remove);
+        }
+    }
+
+    private void end(Held held) {
+        held.ended = true;
+        letGo(held);
+    }
+
+    @Override
+    public void transmit(QueryRouter.Multiget multiget, int part, int node, Span timeOut) {
+        Held held = refs.get(multiget.ref);
+        held.out++;
+        nodes.get(node).out++;
+        open("PASS_ON");
+        number("Tid", held.parts.get(part));
+        millis("AllowFor", timeOut);
+        number("Node", nodes.get(node).id);
+        close();
+    }
+
+    @Override
+    public void withdraw(QueryRouter.Multiget multiget, int part, int transmission) {
+        open("WITHDRAW");
+        number("Tid", refs.get(multiget.ref).parts.get(part));
+        number("Hop", transmission);
+        close();
+    }
+
+    @Override
+    public void answer(QueryRouter.Multiget multiget, boolean whole) {
+        Held held = refs.get(multiget.ref);
+        open("WRAP_UP");
+        number("Tid", held.id);
+        flag("Complete", whole);
+        close();
+        if (multiget.step() > 1 || steps[multiget.product()] == 0) {
+            end(held);
+        }
+    }
+
+    @Override
+    public void dismiss(QueryRouter.Multiget multiget, Span comeBack) {
+        Held held = refs.get(multiget.ref);
+        open("BUSY");
+        number("Tid", held.id);
+        if (comeBack.micros() > 0) {
+            millis("RetryAfter", comeBack);
+        }
+        close();
+        end(held);
+    }
+
+    @Override
+    public void giveUp(QueryRouter.Multiget multiget) {
+        Held held = refs.get(multiget.ref);
+        open("END_FAILED");
+        number("Tid", held.id);
+        close();
+        end(held);
+    }
+
+    @Override
+    public void probe(int node) {
+        nodes.get(node).out++;
+        open("POLL");
+        number("Node", nodes.get(node).id);
+        close();
+    }
+
+    @Override
+    public void watchList() {
+        open("TAIL");
+        flag("Complete", true);
+        close();
+    }
+
+    @Override
+    public void wakeAfter(Span span) {
+        open("DEFER");
+        millis("SleepFor", span);
+        number("Label", 0);
+        close();
+    }
+
+    private interface Writing {
+        void run() throws IOException;
+    }
+
+    private void write(Writing writing) {
+        try {
+            writing.run();
+        } catch (IOException broken) {
+            throw new UncheckedIOException(broken);
+        }
+    }
+
+    private void open(String action) {
+        write(() -> {
+            json.writeStartObject();
+            json.writeStringField("m", action);
+            json.writeStringField("I", name);
+        });
+    }
+
+    private void number(String field, long value) {
+        write(() -> json.writeNumberField(field, value));
+    }
+
+    private void millis(String field, Span span) {
+        write(() -> json.writeNumberField(field, span.millis()));
+    }
+
+    private void flag(String field, boolean value) {
+        write(() -> json.writeBooleanField(field, value));
+    }
+
+    private void close() {
+        write(() -> {
+            json.writeEndObject();
+            json.writeRaw('\n');
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/router/BucketRing.java
@@ -0,0 +1,78 @@
+package gladewing.router;
+
+import java.util.Arrays;
+
+/** Sums kept in time buckets of one length, which are used again in a ring; several channels share the buckets. */
+public final class BucketRing {
+    private final long bucketMicros;
+    private final int channels;
+    private final double[][] buckets;
+    private long newest = Long.MIN_VALUE;
+
+    /** Covers the span whole, with one bucket more for the one that is being filled. */
+    public BucketRing(Span span, int buckets, int channels) {
+        this.bucketMicros = Math.max(1, (span.micros() + buckets - 1) / buckets);
+        this.channels = channels;
+        this.buckets = new double[buckets + 1][channels];
+    }
+
+    public void add(Time now, int channel, double amount) {
+        turn(now);
+        buckets[slot(newest)][channel] += amount;
+    }
+
+    /** All that came within the span, and up to one bucket's length before it. */
+    public double sum(Time now, int channel) {
+        turn(now);
+        double total = 0;
+        for (double[] bucket : buckets) {
+            total += bucket[channel];
+        }
+        return total;
+    }
+
+    /** Only what surely came within the span: the oldest bucket is left out. */
+    public double sumWithin(Time now, int channel) {
+        return sum(now, channel) - buckets[slot(newest + 1)][channel];
+    }
+
+    /** The channel below which the given share of the whole sum lies, or -1 where the sum is under the least. */
+    public int channelAt(Time now, double share, double least) {
+        turn(now);
+        double[] sums = new double[channels];
+        double total = 0;
+        for (double[] bucket : buckets) {
+            for (int c = 0; c < channels; c++) {
+                sums[c] += bucket[c];
+                total += bucket[c];
+            }
+        }
+        if (total < least) {
+            return -1;
+        }
+        double seen = 0;
+        for (int c = 0; c < channels; c++) {
+            seen += sums[c];
+            if (seen >= share * total) {
+                return c;
+            }
+        }
+        return channels - 1;
+    }
+
+    private void turn(Time now) {
+        long bucket = Math.floorDiv(now.micros(), bucketMicros);
+        if (bucket <= newest) {
+            return;
+        }
+        long from = newest == Long.MIN_VALUE ? bucket : Math.max(newest + 1, bucket - buckets.length + 1);
+        for (long b = from; b <= bucket; b++) {
+            Arrays.fill(buckets[slot(b)], 0);
+        }
+        newest = bucket;
+    }
+
+    private int slot(long bucket) {
+        return (int) Math.floorMod(bucket, (long) buckets.length);
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -0,0 +1,728 @@
+package gladewing.router;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * Every decision of one query router: which data node gets which parts, when to send again, when to answer,
+ * whom to turn away. Called within turns: turn(now), then what came in (take gives a handle, and its part,
+ * outcome and clientLeft go on from there; the list, probes and wake come to the router), then endTurn, which
+ * sends. What it does leaves by the Port it was made with; what it is told at its start is Settings. Calls come
+ * from one thread. The ordinary path: the fit, ready node covering the most unsent parts, ties at random.
+ */
+public final class QueryRouter {
+    /** The design's starting value: so long a failed node is left alone, unless it succeeds before. */
+    private static final Span UNFIT = Span.ofMillis(5000);
+    private static final double CUT = 0.5;
+    private static final double BIN_RATIO = Math.log(1.15);
+    private static final int BINS = 80;
+
+    private static final class Node {
+        final int index;
+        int cell;
+        double size;
+        Time startedAt;
+        boolean listed;
+        int inFlight;
+        double limit;
+        int failures;
+        Time failedAt;
+        Time unfitUntil;
+        Time cutAt;
+        Time timelyAt;
+        BucketRing sent;
+
+        Node(int index) {
+            this.index = index;
+        }
+    }
+
+    private static final class Transmission {
+        final Part part;
+        final Node node;
+        final int number;
+        final Time sentAt;
+        boolean out = true;
+        boolean overdue;
+        boolean withdrawn;
+        boolean neverRan;
+
+        Transmission(Part part, Node node, int number, Time sentAt) {
+            this.part = part;
+            this.node = node;
+            this.number = number;
+            this.sentAt = sentAt;
+        }
+    }
+
+    private static final class Part {
+        final Multiget of;
+        final int index;
+        final int shard;
+        final double weight;
+        final List<Transmission> sent = new ArrayList<>(2);
+        boolean in;
+
+        Part(Multiget of, int index, int shard, double weight) {
+            this.of = of;
+            this.index = index;
+            this.shard = shard;
+            this.weight = weight;
+        }
+
+        int out() {
+            int out = 0;
+            for (Transmission t : sent) {
+                out += t.out ? 1 : 0;
+            }
+            return out;
+        }
+    }
+
+    /** A multiget that was taken: what happens to it is told here. */
+    public final class Multiget {
+        public final int ref;
+        private final int product;
+        private final Settings.Product row;
+        private final double revenue;
+        private final Time endsAt;
+        private Time quotedAt;
+        private double hints;
+        private final List<Part> parts = new ArrayList<>();
+        private int step = 1;
+        private int stepFrom;
+        private boolean firstWhole;
+        private boolean ended;
+        private double order;
+
+        private Multiget(int ref, int product, double revenue, Time quotedAt, Time endsAt) {
+            this.ref = ref;
+            this.product = product;
+            this.row = settings.products().get(product);
+            this.revenue = revenue;
+            this.quotedAt = quotedAt;
+            this.endsAt = endsAt;
+        }
+
+        public int product() {
+            return product;
+        }
+
+        /** 2 from the first answer on, where the product has a second step. */
+        public int step() {
+            return step;
+        }
+
+        public void part(int shard, double weight, double hint) {
+            if (!ended) {
+                parts.add(new Part(this, parts.size(), shard, weight));
+                hints += hint;
+                quotedAt = quotedAt.plus(Span.ofMillis(hint * row.quotedStretch()));
+                taken.add(now, 0, 1);
+            }
+        }
+
+        public void outcome(int part, int transmission, Outcome outcome, Span took) {
+            ended(parts.get(part).sent.get(transmission), outcome, took);
+        }
+
+        public void clientLeft() {
+            if (!ended) {
+                close(this);
+            }
+        }
+
+        private double weightIn() {
+            double in = 0;
+            for (Part p : parts.subList(stepFrom, parts.size())) {
+                in += p.in ? p.weight : 0;
+            }
+            return in + ROUNDING;
+        }
+
+        private boolean whole() {
+            return step == 1 ? weightIn() >= row.wholeShare() : firstWhole && allIn();
+        }
+
+        private boolean allIn() {
+            for (Part p : parts.subList(stepFrom, parts.size())) {
+                if (!p.in) {
+                    return false;
+                }
+            }
+            return parts.size() > stepFrom;
+        }
+
+        private boolean enough() {
+            if (row.leastShare() < row.wholeShare()) {
+                return weightIn() >= row.leastShare() && parts.size() > stepFrom;
+            }
+            return step == 1 ? whole() : allIn();
+        }
+
+        private boolean started() {
+            for (Part p : parts) {
+                if (!p.sent.isEmpty()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
+    /** The wire rounds weights; without this a whole answer could wait for a part that is not there. */
+    private static final double ROUNDING = 0.00005;
+
+    private final Settings settings;
+    private final Random random;
+    private final Port port;
+    private final Span shortestQuoted;
+    private final Span sweep;
+    private final Span margin;
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Multiget> open = new ArrayList<>();
+    private final List<Transmission> outstanding = new ArrayList<>();
+    private final Span[] longestTry;
+    private final BucketRing times;
+    private final BucketRing productTimes;
+    private final BucketRing warmWork;
+    private final BucketRing taken;
+    private final BucketRing further;
+    private final BucketRing[] tenantTaken;
+    private Time now;
+    private Span typical;
+    private Span overdue;
+    private boolean waking;
+    private boolean listAsked;
+    private int listFailures;
+    private Time askListAt;
+
+    public QueryRouter(Settings settings, long seed, Port port, Time now) {
+        this.settings = settings;
+        this.random = new Random(seed);
+        this.port = port;
+        this.now = now;
+        Span quoted = settings.products().get(0).quoted();
+        for (Settings.Product p : settings.products()) {
+            quoted = Span.shortest(quoted, p.quoted());
+        }
+        shortestQuoted = quoted;
+        sweep = Span.longest(settings.tick(), quoted.times(0.01));
+        margin = sweep.plus(settings.tick());
+        int products = settings.products().size();
+        longestTry = new Span[products];
+        times = new BucketRing(quoted.times(3), 12, BINS);
+        productTimes = new BucketRing(quoted.times(12), 12, 2 * products);
+        warmWork = new BucketRing(settings.rules().fallSpan().times(4), 8, 1);
+        Span budget = settings.rules().budgetSpan();
+        taken = new BucketRing(Span.longest(budget, sweep), 20, 1);
+        further = new BucketRing(Span.longest(budget, sweep), 20, 1);
+        tenantTaken = new BucketRing[settings.tenants().size()];
+        for (int i = 0; i < tenantTaken.length; i++) {
+            tenantTaken[i] = new BucketRing(quoted.times(2), 10, 1);
+        }
+        askListAt = settings.listMustBeAsked() ? now : null;
+        learn();
+    }
+
+    public void turn(Time at) {
+        now = at;
+    }
+
+    public Multiget take(int ref, int product, int tenant, Span left, boolean again) {
+        Settings.Product row = settings.products().get(product);
+        taken.add(now, 0, 1);
+        double revenue = row.revenue();
+        if (tenant < tenantTaken.length) {
+            tenantTaken[tenant].add(now, 0, 1);
+            double share = settings.tenants().get(tenant).share() * shortestQuoted.times(2).millis() / 1000;
+            if (tenantTaken[tenant].sumWithin(now, 0) > share / settings.routers()) {
+                revenue *= settings.overShareRevenue();
+            }
+        }
+        // A try cut short of the longest seen is cut by the client's whole time: that tells how old the wish
+        // is, without which a late retry would be worked on as if it were new.
+        longestTry[product] = longestTry[product] == null ? left : Span.longest(longestTry[product], left);
+        boolean cut = (again || !settings.clientsMarkRetries())
+                && longestTry[product].longerThan(left.plus(settings.tick()));
+        Time from = cut ? now.plus(left).minus(row.limit()) : now;
+        Multiget m = new Multiget(ref, product, revenue, from.plus(row.quoted()), now.plus(left));
+        open.add(m);
+        return m;
+    }
+
+    public void nodeListed(int index, int cell, int zone, double size, Time startedAt, boolean draining) {
+        while (nodes.size() <= index) {
+            nodes.add(null);
+        }
+        Node node = nodes.get(index);
+        boolean restarted = node != null && startedAt != null && !startedAt.equals(node.startedAt);
+        if (node == null || restarted || node.sent == null) {
+            node = new Node(index);
+            node.sent = new BucketRing(settings.rules().fallSpan(), 6, 1);
+            node.limit = peersLimit();
+            nodes.set(index, node);
+        }
+        node.cell = cell;
+        node.size = size;
+        node.startedAt = startedAt;
+        node.listed = !draining;
+    }
+
+    public void nodeGone(int index) {
+        if (index < nodes.size() && nodes.get(index) != null) {
+            nodes.get(index).listed = false;
+            nodes.set(index, null);
+        }
+    }
+
+    public void listCame() {
+        if (listAsked) {
+            listFailures = 0;
+        }
+    }
+
+    /** The list service is shared and small: each failure doubles the wait; chance keeps routers apart. */
+    public void listFailed() {
+        listFailures++;
+        Span first = settings.rules().askWithin().times(0.05 * (0.5 + random.nextDouble()));
+        Span wait = Span.shortest(first.times(1 << Math.min(listFailures - 1, 8)),
+                settings.rules().askWithin().times(0.25 * (0.5 + random.nextDouble())));
+        askListAt = settings.listMustBeAsked() ? now.plus(wait) : null;
+    }
+
+    public void probed(int node, boolean runs) {
+    }
+
+    public void wake() {
+        waking = false;
+    }
+
+    public void endTurn() {
+        if (!waking) {
+            waking = true;
+            port.wakeAfter(sweep);
+            learn();
+            findOverdue();
+        }
+        if (askListAt != null && !now.before(askListAt)) {
+            askListAt = null;
+            listAsked = true;
+            port.watchList();
+        }
+        for (Multiget m : new ArrayList<>(open)) {
+            settle(m);
+        }
+        sendHeld();
+    }
+
+    // ---- what is learned ------------------------------------------------------------------------
+
+    private void learn() {
+        int middle = times.channelAt(now, 0.5, 20);
+        typical = middle < 0 ? shortestQuoted.times(0.1) : binEnd(middle);
+        Span slow = middle < 0 ? typical.times(3) : binEnd(times.channelAt(now, 0.95, 20));
+        overdue = Span.longest(slow.times(1.5), typical.times(3));
+    }
+
+    private static Span binEnd(int bin) {
+        return Span.ofMillis(Math.exp((bin + 1) * BIN_RATIO));
+    }
+
+    private static int bin(Span span) {
+        return (int) Math.max(0, Math.min(BINS - 1, Math.log(Math.max(1, span.millis())) / BIN_RATIO));
+    }
+
+    /** Work of a part against the mean part, from answer times; 1 until enough has been seen. */
+    private double work(int product) {
+        double count = productTimes.sum(now, 2 * product);
+        double all = 0;
+        double allCount = 0;
+        for (int p = 0; p < longestTry.length; p++) {
+            allCount += productTimes.sum(now, 2 * p);
+            all += productTimes.sum(now, 2 * p + 1);
+        }
+        return count < 10 ? 1 : productTimes.sum(now, 2 * product + 1) / count / (all / allCount);
+    }
+
+    private double peersLimit() {
+        List<Double> limits = new ArrayList<>();
+        for (Node n : nodes) {
+            if (n != null && n.listed) {
+                limits.add(n.limit);
+            }
+        }
+        limits.sort(Comparator.naturalOrder());
+        return limits.isEmpty() ? 2 : limits.get(limits.size() / 2);
+    }
+
+    // ---- health ---------------------------------------------------------------------------------
+
+    private boolean fit(Node node) {
+        return node.failures == 0 || !now.before(node.unfitUntil);
+    }
+
+    /** A node on trial gets one call at a time, so that a wrong trust costs one multiget and not many. */
+    private boolean ready(Node node) {
+        return node.listed && node.inFlight < (node.failures > 0 ? 1 : (int) node.limit);
+    }
+
+    private void failed(Transmission t) {
+        Node node = t.node;
+        if (node.failedAt == null || !t.sentAt.before(node.failedAt)) {
+            node.failures++;
+            node.failedAt = now;
+            node.unfitUntil = now.plus(UNFIT);
+        }
+        cut(t);
+    }
+
+    /** Once a round trip: what was sent before the last cut tells nothing about the limit after it. */
+    private void cut(Transmission t) {
+        Node node = t.node;
+        if (node.cutAt == null || !t.sentAt.before(node.cutAt)) {
+            node.limit = Math.max(1, node.limit * CUT);
+            node.cutAt = now;
+        }
+    }
+
+    private void findOverdue() {
+        for (Transmission t : new ArrayList<>(outstanding)) {
+            Span age = now.since(t.sentAt);
+            if (!t.overdue && age.longerThan(overdue.times(1 / warmth(t.node)))) {
+                t.overdue = true;
+                // Silence counts as a slow answer: a fleet gone slow as a whole moves its own yardstick.
+                times.add(now, bin(age), 1);
+                if (t.node.timelyAt == null || t.node.timelyAt.before(t.sentAt)) {
+                    failed(t);
+                } else {
+                    cut(t);
+                }
+            }
+            if (t.overdue && !settings.allowed().secondCopies() && mayFollow(t.part) && elsewhere(t.part)) {
+                withdraw(t.part);
+            }
+        }
+    }
+
+    /** Where no second copy may run, the first is only withdrawn when another node stands ready. */
+    private boolean elsewhere(Part part) {
+        for (Node node : nodes) {
+            if (node != null && fit(node) && ready(node) && canServe(node, part)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- cold nodes -----------------------------------------------------------------------------
+
+    /** The share of its capacity that a node surely has by now; 1 when it is warm. */
+    private double warmth(Node node) {
+        if (node.startedAt == null) {
+            return 1;
+        }
+        double age = now.since(node.startedAt).millis() / settings.rules().coldSpan().millis();
+        double from = settings.rules().coldShare();
+        return Math.min(1, from + (1 - from) * Math.max(0, age));
+    }
+
+    /** Work that may still go to a cold node in this window: a warm one's, cut to the node's warmth. */
+    private double coldRoom(Node node) {
+        double warmth = warmth(node);
+        if (warmth >= 1) {
+            return Double.MAX_VALUE;
+        }
+        int warm = 0;
+        for (Node n : nodes) {
+            warm += n != null && n.listed && warmth(n) >= 1 ? 1 : 0;
+        }
+        double usual = warmWork.sumWithin(now, 0) / 4 / Math.max(1, warm);
+        return warmth * usual * settings.rules().fallMultiple() / 2 - node.sent.sum(now, 0);
+    }
+
+    // ---- outcomes -------------------------------------------------------------------------------
+
+    private void ended(Transmission t, Outcome outcome, Span took) {
+        if (!t.out) {
+            return;
+        }
+        t.out = false;
+        t.node.inFlight--;
+        outstanding.remove(t);
+        Multiget m = t.part.of;
+        if (outcome == Outcome.OK) {
+            succeeded(t, took);
+            if (!m.ended && !t.part.in) {
+                t.part.in = true;
+                withdraw(t.part);
+                if (m.whole()) {
+                    answer(m);
+                }
+            }
+        } else if (outcome != Outcome.WITHDRAWN && outcome != Outcome.NOT_SENT
+                && outcome != Outcome.TIMED_OUT) {
+            failed(t);
+        }
+        t.neverRan = outcome.neverRan;
+    }
+
+    private void succeeded(Transmission t, Span took) {
+        Node node = t.node;
+        int product = t.part.of.product;
+        if (!t.overdue) {
+            times.add(now, bin(took), 1);
+            node.timelyAt = now;
+            node.failures = 0;
+        }
+        productTimes.add(now, 2 * product, 1);
+        productTimes.add(now, 2 * product + 1, took.millis());
+        if (took.longerThan(shortestQuoted.times(0.25))) {
+            cut(t);
+        } else if (node.inFlight + 1 >= (int) node.limit) {
+            node.limit++;
+        }
+    }
+
+    // ---- final answers --------------------------------------------------------------------------
+
+    /** Ends what can't be answered in time at once: an end held back would only cost its client time. */
+    private void settle(Multiget m) {
+        boolean pastQuoted = !now.before(m.quotedAt.minus(margin));
+        boolean last = !now.before(m.endsAt.minus(margin));
+        if ((pastQuoted || last) && m.enough()) {
+            answer(m);
+        } else if (last) {
+            giveUp(m);
+        } else if (!worthLate(m) && (pastQuoted || !m.started() && !now.plus(typical).before(m.quotedAt))
+                || hopeless(m)) {
+            turnAway(m);
+        }
+    }
+
+    /** Where failing after the quoted time costs more than a late answer earns, the quoted time is the end. */
+    private boolean worthLate(Multiget m) {
+        return m.row.lateRevenue() > settings.lateFailPrice();
+    }
+
+    private boolean hopeless(Multiget m) {
+        double reachable = ROUNDING;
+        boolean all = true;
+        for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
+            boolean may = p.in || p.out() > 0 || mayFollow(p);
+            all &= may;
+            reachable += may ? p.weight : 0;
+        }
+        if (m.parts.size() == m.stepFrom || all) {
+            return false;
+        }
+        return m.row.leastShare() < m.row.wholeShare() ? reachable < m.row.leastShare()
+                : m.step > 1 || reachable < m.row.wholeShare();
+    }
+
+    private void answer(Multiget m) {
+        boolean whole = m.whole();
+        port.answer(m, whole);
+        if (m.step == 1 && m.row.secondStep() > 0) {
+            m.parts.forEach(this::withdraw);
+            m.firstWhole = whole;
+            m.step = 2;
+            m.stepFrom = m.parts.size();
+        } else {
+            close(m);
+        }
+    }
+
+    /** Rule 2: a dismissal says that asking again is harmless; without proof this is a give-up. */
+    private void turnAway(Multiget m) {
+        boolean harmless = true;
+        for (Part p : m.parts) {
+            harmless &= m.row.effect() == Settings.Effect.REPEATABLE || provedNotRun(p);
+        }
+        if (harmless) {
+            port.dismiss(m, Span.shortest(typical, settings.allowed().comeBack()));
+            close(m);
+        } else {
+            giveUp(m);
+        }
+    }
+
+    private void giveUp(Multiget m) {
+        port.giveUp(m);
+        close(m);
+    }
+
+    private void close(Multiget m) {
+        m.ended = true;
+        open.remove(m);
+        m.parts.forEach(this::withdraw);
+    }
+
+    private void withdraw(Part part) {
+        for (Transmission t : part.sent) {
+            if (t.out && !t.withdrawn && settings.allowed().withdrawals()) {
+                t.withdrawn = true;
+                port.withdraw(part.of, part.index, t.number);
+            }
+        }
+    }
+
+    // ---- sending --------------------------------------------------------------------------------
+
+    private static boolean provedNotRun(Part part) {
+        for (Transmission t : part.sent) {
+            if (t.out || !t.neverRan) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Rule 2 and the limit per part: whether the part may be sent once more, whoever asks and why. */
+    private boolean mayFollow(Part part) {
+        if (part.sent.size() >= settings.allowed().transmissionsPerPart()) {
+            return false;
+        }
+        if (part.sent.isEmpty()) {
+            return true;
+        }
+        Settings.Product row = part.of.row;
+        if (row.effect() != Settings.Effect.REPEATABLE && !provedNotRun(part)) {
+            if (row.effect() == Settings.Effect.ONCE_ONLY) {
+                return false;
+            }
+            for (Transmission t : part.sent) {
+                if (!t.neverRan && !now.before(t.sentAt.plus(row.repeatWindow()).minus(margin))) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private boolean budgetLeft() {
+        Settings.Rules rules = settings.rules();
+        return rules.budgetSpan().micros() == 0 || further.sum(now, 0) + 1
+                <= rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now, 0);
+    }
+
+    private List<Part> wanting(Multiget m) {
+        List<Part> wanting = new ArrayList<>();
+        for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
+            if (p.in || !mayFollow(p) || !p.sent.isEmpty() && !budgetLeft()) {
+                continue;
+            }
+            int out = p.out();
+            if (out == 0 || out == 1 && settings.allowed().secondCopies()
+                    && p.sent.get(p.sent.size() - 1).overdue) {
+                wanting.add(p);
+            }
+        }
+        return wanting;
+    }
+
+    /** Revenue for the work left: under load the started and the dear go first, the rest waits. */
+    private double order(Multiget m, int wanting) {
+        boolean late = !now.plus(typical).before(m.quotedAt);
+        double size = settings.revenueByWork() ? Math.max(m.hints, m.parts.size()) : 1;
+        return m.revenue * size * (late ? m.row.lateRevenue() : 1) / (wanting + 1);
+    }
+
+    private void sendHeld() {
+        List<Multiget> held = new ArrayList<>();
+        for (Multiget m : open) {
+            int wanting = wanting(m).size();
+            if (wanting > 0) {
+                m.order = order(m, wanting);
+                held.add(m);
+            }
+        }
+        held.sort(Comparator.comparingDouble((Multiget m) -> -m.order));
+        for (Multiget m : held) {
+            cover(m, false);
+            if (!now.plus(typical.times(2)).before(m.quotedAt)) {
+                cover(m, true);
+            }
+        }
+    }
+
+    /** The design's loop. As the last resort, held parts may go to unfit nodes, the least doubtful first. */
+    private void cover(Multiget m, boolean lastResort) {
+        List<Part> unsent = wanting(m);
+        List<Node> widest = new ArrayList<>();
+        while (!unsent.isEmpty()) {
+            int best = Integer.MIN_VALUE;
+            widest.clear();
+            for (Node node : nodes) {
+                if (node == null || !ready(node) || !lastResort && !fit(node)) {
+                    continue;
+                }
+                int covers = covers(node, unsent);
+                int rank = lastResort ? covers - node.failures * settings.shards().cells() : covers;
+                if (covers > 0 && rank >= best) {
+                    if (rank > best) {
+                        widest.clear();
+                    }
+                    best = rank;
+                    widest.add(node);
+                }
+            }
+            if (widest.isEmpty()) {
+                return;
+            }
+            Node pick = widest.get(random.nextInt(widest.size()));
+            int room = covers(pick, unsent);
+            for (Part p : new ArrayList<>(unsent)) {
+                if (room > 0 && canServe(pick, p)) {
+                    room--;
+                    unsent.remove(p);
+                    transmit(p, pick);
+                }
+            }
+        }
+    }
+
+    private int covers(Node node, List<Part> parts) {
+        int covers = 0;
+        for (Part p : parts) {
+            covers += canServe(node, p) ? 1 : 0;
+        }
+        if (covers > 0 && warmth(node) < 1) {
+            covers = (int) Math.min(covers, Math.max(0, coldRoom(node) / work(parts.get(0).of.product)));
+        }
+        return covers;
+    }
+
+    /** The last permitted transmission of a part is kept for a node that is not in doubt. */
+    private boolean canServe(Node node, Part part) {
+        Settings.Shards shards = settings.shards();
+        if (Math.floorMod(node.cell - part.shard, shards.cells()) >= shards.reach()) {
+            return false;
+        }
+        for (Transmission t : part.sent) {
+            if (t.out && t.node == node) {
+                return false;
+            }
+        }
+        return part.sent.isEmpty() || node.failures == 0
+                || part.sent.size() + 1 < settings.allowed().transmissionsPerPart();
+    }
+
+    private void transmit(Part part, Node node) {
+        Transmission t = new Transmission(part, node, part.sent.size(), now);
+        if (!part.sent.isEmpty()) {
+            further.add(now, 0, 1);
+        }
+        part.sent.add(t);
+        outstanding.add(t);
+        node.inFlight++;
+        double work = work(part.of.product);
+        node.sent.add(now, 0, work);
+        if (warmth(node) >= 1) {
+            warmWork.add(now, 0, work);
+        }
+        port.transmit(part.of, part.index, node.index, part.of.endsAt.since(now));
+    }
+}
