--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -221,7 +221,7 @@
     private void letGo(Held held) {
         if (held.ended && held.out == 0 && refs.get(held.ref) == held) {
             refs.set(held.ref, null);
-            byNumber.remove(held.number);
+            byNumber.remove(held.number, held);
             places.remove(held.id);
             held.parts.forEach(places::remove);
         }
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -9,8 +9,8 @@
  * Every decision of one query router: which data node gets which parts, when to send again, when to answer,
  * whom to turn away. Called within turns: turn(now), then what came in (take gives a handle, and its part,
  * outcome and clientLeft go on from there; the list, probes and wake come to the router), then endTurn, which
- * sends. What it does leaves by the Port it was made with; what it is told at its start is Settings. Calls come
- * from one thread. The ordinary path: the fit, ready node covering the most unsent parts, ties at random.
+ * sends. What it does leaves by the Port it was made with; what it is told at its start is Settings. Calls
+ * come from one thread. The ordinary path: the fit, ready node covering most unsent parts, ties at random.
  */
 public final class QueryRouter {
     /** The design's starting value: so long a failed node is left alone, unless it succeeds before. */
@@ -315,6 +315,7 @@
         for (Multiget m : new ArrayList<>(open)) {
             settle(m);
         }
+        makeRoom();
         sendHeld();
     }
 
@@ -502,7 +503,7 @@
         }
     }
 
-    /** Where failing after the quoted time costs more than a late answer earns, the quoted time is the end. */
+    /** Where failing after the quoted time costs more than a late answer earns, it is the end. */
     private boolean worthLate(Multiget m) {
         return m.row.lateRevenue() > settings.lateFailPrice();
     }
@@ -522,6 +523,30 @@
                 : m.step > 1 || reachable < m.row.wholeShare();
     }
 
+    /** At the cap new multigets are lost unseen, the dear with the cheap: the least worth goes before. */
+    private void makeRoom() {
+        int held = open.size();
+        for (Multiget m : open) {
+            held += m.parts.size();
+        }
+        int room = settings.allowed().open() * 9 / 10;
+        if (held <= room) {
+            return;
+        }
+        List<Multiget> unstarted = new ArrayList<>();
+        for (Multiget m : open) {
+            if (!m.started()) {
+                m.order = order(m, m.parts.size());
+                unstarted.add(m);
+            }
+        }
+        unstarted.sort(Comparator.comparingDouble((Multiget m) -> m.order));
+        for (int i = 0; i < unstarted.size() && held > room; i++) {
+            held -= 1 + unstarted.get(i).parts.size();
+            turnAway(unstarted.get(i));
+        }
+    }
+
     private void answer(Multiget m) {
         boolean whole = m.whole();
         port.answer(m, whole);
