--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -676,6 +676,9 @@
     /** The design's loop. As the last resort, held parts may go to unfit nodes, the least doubtful first. */
     private void cover(Multiget m, boolean lastResort) {
         List<Part> unsent = wanting(m);
+        if (lastResort) {
+            unsent.removeIf(this::hasFitNode);
+        }
         List<Node> widest = new ArrayList<>();
         while (!unsent.isEmpty()) {
             int best = Integer.MIN_VALUE;
@@ -709,6 +712,16 @@
         }
     }
 
+    /** Fit though busy is still better than in doubt: a part must not be wasted on the doubtful. */
+    private boolean hasFitNode(Part part) {
+        for (Node node : nodes) {
+            if (node != null && node.listed && fit(node) && canServe(node, part)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private int covers(Node node, List<Part> parts) {
         int covers = 0;
         for (Part p : parts) {
