--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -523,27 +523,22 @@
                 : m.step > 1 || reachable < m.row.wholeShare();
     }
 
-    /** At the cap new multigets are lost unseen, the dear with the cheap: the least worth goes before. */
+    /** At the cap new multigets are lost unseen: whatever earns least for the places it takes goes before. */
     private void makeRoom() {
-        int held = open.size();
+        int held = 0;
         for (Multiget m : open) {
-            held += m.parts.size();
+            held += 1 + m.parts.size();
+            m.order = inTimeRevenue(m) / (1 + m.parts.size());
         }
-        int room = settings.allowed().open() * 9 / 10;
-        if (held <= room) {
+        if (held < settings.allowed().open()) {
             return;
         }
-        List<Multiget> unstarted = new ArrayList<>();
-        for (Multiget m : open) {
-            if (!m.started()) {
-                m.order = order(m, m.parts.size());
-                unstarted.add(m);
-            }
-        }
-        unstarted.sort(Comparator.comparingDouble((Multiget m) -> m.order));
-        for (int i = 0; i < unstarted.size() && held > room; i++) {
-            held -= 1 + unstarted.get(i).parts.size();
-            turnAway(unstarted.get(i));
+        List<Multiget> least = new ArrayList<>(open);
+        least.removeIf(m -> m.started() && now.before(m.quotedAt));
+        least.sort(Comparator.comparingDouble((Multiget m) -> m.order));
+        for (int i = 0; i < least.size() && held >= settings.allowed().open(); i++) {
+            held -= 1 + least.get(i).parts.size();
+            turnAway(least.get(i));
         }
     }
 
@@ -650,9 +645,13 @@
 
     /** Revenue for the work left: under load the started and the dear go first, the rest waits. */
     private double order(Multiget m, int wanting) {
+        return inTimeRevenue(m) / (wanting + 1);
+    }
+
+    private double inTimeRevenue(Multiget m) {
         boolean late = !now.plus(typical).before(m.quotedAt);
         double size = settings.revenueByWork() ? Math.max(m.hints, m.parts.size()) : 1;
-        return m.revenue * size * (late ? m.row.lateRevenue() : 1) / (wanting + 1);
+        return m.revenue * size * (late ? m.row.lateRevenue() : 1);
     }
 
     private void sendHeld() {
