--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -325,7 +325,8 @@
         int middle = times.channelAt(now, 0.5, 20);
         typical = middle < 0 ? shortestQuoted.times(0.1) : binEnd(middle);
         Span slow = middle < 0 ? typical.times(3) : binEnd(times.channelAt(now, 0.95, 20));
-        overdue = Span.longest(slow.times(1.5), typical.times(3));
+        // The slowest answers set the bar, unless a few nodes in trouble gave them: then the median does.
+        overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), shortestQuoted.times(0.3)));
     }
 
     private static Span binEnd(int bin) {
