--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -32,6 +32,7 @@
         Time unfitUntil;
         Time cutAt;
         Time timelyAt;
+        Time heardAt;
         BucketRing sent;
 
         Node(int index) {
@@ -403,13 +404,18 @@
                     cut(t);
                 }
             }
-            if (t.overdue && !settings.allowed().secondCopies() && mayFollow(t.part) && elsewhere(t.part)) {
+            boolean silent = t.node.heardAt == null || t.node.heardAt.before(t.sentAt);
+            if (t.overdue && (silent || age.longerThan(overdue.times(2))) && !settings.allowed().secondCopies()
+                    && mayFollow(t.part) && elsewhere(t.part)) {
                 withdraw(t.part);
             }
         }
     }
 
-    /** Where no second copy may run, the first is only withdrawn when another node stands ready. */
+    /**
+     * Where no second copy may run, a resend throws away what the first has done: so the first is withdrawn only
+     * when another node stands ready, and not soon from a node that still answers, slow as it may be.
+     */
     private boolean elsewhere(Part part) {
         for (Node node : nodes) {
             if (node != null && fit(node) && ready(node) && canServe(node, part)) {
@@ -456,6 +462,7 @@
         outstanding.remove(t);
         Multiget m = t.part.of;
         if (outcome == Outcome.OK) {
+            t.node.heardAt = now;
             succeeded(t, took);
             if (!m.ended && !t.part.in) {
                 t.part.in = true;
@@ -537,9 +544,14 @@
         List<Multiget> least = new ArrayList<>(open);
         least.removeIf(m -> m.started() && now.before(m.quotedAt));
         least.sort(Comparator.comparingDouble((Multiget m) -> m.order));
-        for (int i = 0; i < least.size() && held >= settings.allowed().open(); i++) {
-            held -= 1 + least.get(i).parts.size();
-            turnAway(least.get(i));
+        for (Multiget m : least) {
+            int without = held - 1 - m.parts.size();
+            boolean late = !now.before(m.quotedAt);
+            // One that only reaches the cap harms nobody; ending it would trade what is taken for a hope.
+            if (late ? held >= settings.allowed().open() : without >= settings.allowed().open()) {
+                held = without;
+                turnAway(m);
+            }
         }
     }
 
