--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -13,7 +13,7 @@
  * come from one thread. The ordinary path: the fit, ready node covering most unsent parts, ties at random.
  */
 public final class QueryRouter {
-    /** The design's starting value: so long a failed node is left alone, unless it succeeds before. */
+    /** The design's starting value, here the longest that a failed node is left alone before its next trial. */
     private static final Span UNFIT = Span.ofMillis(5000);
     private static final double CUT = 0.5;
     private static final double BIN_RATIO = Math.log(1.15);
@@ -377,7 +377,8 @@
         if (node.failedAt == null || !t.sentAt.before(node.failedAt)) {
             node.failures++;
             node.failedAt = now;
-            node.unfitUntil = now.plus(UNFIT);
+            // Grows with each failure in a row: a stall taken for a failure must not empty a set for long.
+            node.unfitUntil = now.plus(Span.shortest(UNFIT, overdue.times(1 << Math.min(node.failures - 1, 8))));
         }
         cut(t);
     }
@@ -405,16 +406,16 @@
                 }
             }
             boolean silent = t.node.heardAt == null || t.node.heardAt.before(t.sentAt);
-            if (t.overdue && (silent || age.longerThan(overdue.times(2))) && !settings.allowed().secondCopies()
-                    && mayFollow(t.part) && elsewhere(t.part)) {
+            if (t.overdue && !settings.allowed().secondCopies() && mayFollow(t.part)
+                    && (silent || age.longerThan(overdue.times(2))) && elsewhere(t.part)) {
                 withdraw(t.part);
             }
         }
     }
 
     /**
-     * Where no second copy may run, a resend throws away what the first has done: so the first is withdrawn only
-     * when another node stands ready, and not soon from a node that still answers, slow as it may be.
+     * Where no second copy may run, a resend throws away what the first has done: so the first is withdrawn
+     * only when another node stands ready, and not soon from a node that still answers, slow as it may be.
      */
     private boolean elsewhere(Part part) {
         for (Node node : nodes) {
