--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -13,7 +13,7 @@
  * come from one thread. The ordinary path: the fit, ready node covering most unsent parts, ties at random.
  */
 public final class QueryRouter {
-    /** The design's starting value, here the longest that a failed node is left alone before its next trial. */
+    /** The design's starting value, here the longest that a failed node waits for its next trial. */
     private static final Span UNFIT = Span.ofMillis(5000);
     private static final double CUT = 0.5;
     private static final double BIN_RATIO = Math.log(1.15);
@@ -378,7 +378,8 @@
             node.failures++;
             node.failedAt = now;
             // Grows with each failure in a row: a stall taken for a failure must not empty a set for long.
-            node.unfitUntil = now.plus(Span.shortest(UNFIT, overdue.times(1 << Math.min(node.failures - 1, 8))));
+            Span window = overdue.times(1 << Math.min(node.failures - 1, 8));
+            node.unfitUntil = now.plus(Span.shortest(UNFIT, window));
         }
         cut(t);
     }
@@ -642,15 +643,14 @@
                 <= rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now, 0);
     }
 
-    private List<Part> wanting(Multiget m) {
+    private List<Part> wanting(Multiget m, boolean copies) {
         List<Part> wanting = new ArrayList<>();
         for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
             if (p.in || !mayFollow(p) || !p.sent.isEmpty() && !budgetLeft()) {
                 continue;
             }
             int out = p.out();
-            if (out == 0 || out == 1 && settings.allowed().secondCopies()
-                    && p.sent.get(p.sent.size() - 1).overdue) {
+            if (copies ? out == 1 && p.sent.get(p.sent.size() - 1).overdue : out == 0) {
                 wanting.add(p);
             }
         }
@@ -669,29 +669,38 @@
     }
 
     private void sendHeld() {
+        boolean left = send(false);
+        // A copy takes a place from a first send; while parts are held for want of places, there are none.
+        if (!left && settings.allowed().secondCopies()) {
+            send(true);
+        }
+    }
+
+    private boolean send(boolean copies) {
         List<Multiget> held = new ArrayList<>();
         for (Multiget m : open) {
-            int wanting = wanting(m).size();
+            int wanting = wanting(m, copies).size();
             if (wanting > 0) {
                 m.order = order(m, wanting);
                 held.add(m);
             }
         }
         held.sort(Comparator.comparingDouble((Multiget m) -> -m.order));
+        boolean left = false;
         for (Multiget m : held) {
-            cover(m, false);
-            if (!now.plus(typical.times(2)).before(m.quotedAt)) {
-                cover(m, true);
+            List<Part> unsent = wanting(m, copies);
+            cover(unsent, false);
+            if (!copies && !now.plus(typical.times(2)).before(m.quotedAt)) {
+                unsent.removeIf(this::hasFitNode);
+                cover(unsent, true);
             }
+            left |= !unsent.isEmpty();
         }
+        return left;
     }
 
     /** The design's loop. As the last resort, held parts may go to unfit nodes, the least doubtful first. */
-    private void cover(Multiget m, boolean lastResort) {
-        List<Part> unsent = wanting(m);
-        if (lastResort) {
-            unsent.removeIf(this::hasFitNode);
-        }
+    private void cover(List<Part> unsent, boolean lastResort) {
         List<Node> widest = new ArrayList<>();
         while (!unsent.isEmpty()) {
             int best = Integer.MIN_VALUE;
