--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -90,6 +90,7 @@
         private final double revenue;
         private final Time endsAt;
         private Time quotedAt;
+        private Time firstSent;
         private double hints;
         private final List<Part> parts = new ArrayList<>();
         private int step = 1;
@@ -162,15 +163,6 @@
             }
             return step == 1 ? whole() : allIn();
         }
-
-        private boolean started() {
-            for (Part p : parts) {
-                if (!p.sent.isEmpty()) {
-                    return true;
-                }
-            }
-            return false;
-        }
     }
 
     /** The wire rounds weights; without this a whole answer could wait for a part that is not there. */
@@ -188,6 +180,8 @@
     private final Span[] longestTry;
     private final BucketRing times;
     private final BucketRing productTimes;
+    private final BucketRing[] answerTimes;
+    private final Span[] usualAnswer;
     private final BucketRing warmWork;
     private final BucketRing taken;
     private final BucketRing further;
@@ -216,6 +210,11 @@
         longestTry = new Span[products];
         times = new BucketRing(quoted.times(3), 12, BINS);
         productTimes = new BucketRing(quoted.times(12), 12, 2 * products);
+        answerTimes = new BucketRing[products];
+        usualAnswer = new Span[products];
+        for (int i = 0; i < products; i++) {
+            answerTimes[i] = new BucketRing(quoted.times(6), 12, BINS);
+        }
         warmWork = new BucketRing(settings.rules().fallSpan().times(4), 8, 1);
         Span budget = settings.rules().budgetSpan();
         taken = new BucketRing(Span.longest(budget, sweep), 20, 1);
@@ -327,9 +326,18 @@
         typical = middle < 0 ? shortestQuoted.times(0.1) : binEnd(middle);
         Span slow = middle < 0 ? typical.times(3) : binEnd(times.channelAt(now, 0.95, 20));
         // The slowest answers set the bar, unless a few nodes in trouble gave them: then the median does.
+        for (int i = 0; i < usualAnswer.length; i++) {
+            int usual = answerTimes[i].channelAt(now, 0.5, 10);
+            usualAnswer[i] = usual < 0 ? typical : binEnd(usual);
+        }
         overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), shortestQuoted.times(0.3)));
     }
 
+    /** What an unstarted multiget has before it: all its parts, the slowest of which makes the answer. */
+    private boolean tooLate(Multiget m) {
+        return !now.plus(m.firstSent == null ? usualAnswer[m.product] : typical).before(m.quotedAt);
+    }
+
     private static Span binEnd(int bin) {
         return Span.ofMillis(Math.exp((bin + 1) * BIN_RATIO));
     }
@@ -507,7 +515,7 @@
             answer(m);
         } else if (last) {
             giveUp(m);
-        } else if (!worthLate(m) && (pastQuoted || !m.started() && !now.plus(typical).before(m.quotedAt))
+        } else if (!worthLate(m) && (pastQuoted || m.firstSent == null && tooLate(m))
                 || hopeless(m)) {
             turnAway(m);
         }
@@ -544,7 +552,7 @@
             return;
         }
         List<Multiget> least = new ArrayList<>(open);
-        least.removeIf(m -> m.started() && now.before(m.quotedAt));
+        least.removeIf(m -> m.firstSent != null && now.before(m.quotedAt));
         least.sort(Comparator.comparingDouble((Multiget m) -> m.order));
         for (Multiget m : least) {
             int without = held - 1 - m.parts.size();
@@ -560,6 +568,7 @@
     private void answer(Multiget m) {
         boolean whole = m.whole();
         port.answer(m, whole);
+        answerTimes[m.product].add(now, bin(now.since(m.firstSent)), 1);
         if (m.step == 1 && m.row.secondStep() > 0) {
             m.parts.forEach(this::withdraw);
             m.firstWhole = whole;
@@ -663,9 +672,8 @@
     }
 
     private double inTimeRevenue(Multiget m) {
-        boolean late = !now.plus(typical).before(m.quotedAt);
         double size = settings.revenueByWork() ? Math.max(m.hints, m.parts.size()) : 1;
-        return m.revenue * size * (late ? m.row.lateRevenue() : 1);
+        return m.revenue * size * (tooLate(m) ? m.row.lateRevenue() : 1);
     }
 
     private void sendHeld() {
@@ -776,6 +784,7 @@
             further.add(now, 0, 1);
         }
         part.sent.add(t);
+        part.of.firstSent = part.of.firstSent == null ? now : part.of.firstSent;
         outstanding.add(t);
         node.inFlight++;
         double work = work(part.of.product);
