--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -190,6 +190,7 @@
     private Span typical;
     private Span overdue;
     private boolean waking;
+    private boolean crowded;
     private boolean listAsked;
     private int listFailures;
     private Time askListAt;
@@ -521,9 +522,12 @@
         }
     }
 
-    /** Where failing after the quoted time costs more than a late answer earns, it is the end. */
+    /**
+     * Where failing after the quoted time costs more than a late answer earns, it is the end; and where parts
+     * are held for want of places, a late answer would push one in time past its own quoted time.
+     */
     private boolean worthLate(Multiget m) {
-        return m.row.lateRevenue() > settings.lateFailPrice();
+        return !crowded && m.row.lateRevenue() > settings.lateFailPrice();
     }
 
     private boolean hopeless(Multiget m) {
@@ -568,7 +572,9 @@
     private void answer(Multiget m) {
         boolean whole = m.whole();
         port.answer(m, whole);
-        answerTimes[m.product].add(now, bin(now.since(m.firstSent)), 1);
+        if (m.firstSent != null) {
+            answerTimes[m.product].add(now, bin(now.since(m.firstSent)), 1);
+        }
         if (m.step == 1 && m.row.secondStep() > 0) {
             m.parts.forEach(this::withdraw);
             m.firstWhole = whole;
@@ -677,9 +683,9 @@
     }
 
     private void sendHeld() {
-        boolean left = send(false);
+        crowded = send(false);
         // A copy takes a place from a first send; while parts are held for want of places, there are none.
-        if (!left && settings.allowed().secondCopies()) {
+        if (!crowded && settings.allowed().secondCopies()) {
             send(true);
         }
     }
