--- /dev/null
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -0,0 +1,190 @@
+package gladewing.router;
+
+import gladewing.router.QueryRouter.Multiget;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class QueryRouterTest {
+    private final Trace trace = new Trace();
+
+    private static void ok(Multiget m, int part, int transmission, double took) {
+        m.outcome(part, transmission, Outcome.OK, Span.ofMillis(took));
+    }
+
+    @Test
+    void widestCoverFirstAndTiesAtRandom() throws IOException {
+        trace.start().nodes(0, 1, 1, 2, 3);
+        trace.say("shards 0 1: the nodes of cell 1 hold both");
+        for (int i = 0; i < 4; i++) {
+            Multiget m = trace.take(3000, 0, 1);
+            trace.to(100 * i + 50);
+            ok(m, 0, 0, 50);
+            ok(m, 1, 0, 50);
+        }
+        trace.say("shards 0 1 2: one part is left for another node");
+        trace.take(3000, 0, 1, 2);
+        trace.matches("cover");
+    }
+
+    @Test
+    void partsAreHeldUntilANodeIsReady() throws IOException {
+        trace.reach = 1;
+        trace.start().nodes(0);
+        Multiget first = trace.take(3000, 0);
+        Multiget second = trace.take(3000, 0);
+        Multiget third = trace.take(3000, 0);
+        trace.to(60).say("one answer frees a place, and the limit grows by one");
+        ok(first, 0, 0, 60);
+        trace.take(3000, 0);
+        trace.to(70).say("an error makes the node unfit: held again until it turns fit");
+        second.outcome(0, 0, Outcome.ERROR, Span.ofMillis(70));
+        trace.to(200).say("a later success");
+        ok(third, 0, 0, 140);
+        trace.matches("holding");
+    }
+
+    @Test
+    void finalAnswerComesOnceAndInTime() throws IOException {
+        trace.lateRevenue = 0.5;
+        trace.start().nodes(0);
+        trace.take(1500, 0);
+        trace.to(3000).say("no part is sent after it");
+        trace.matches("final-answer");
+    }
+
+    @Test
+    void onceOnlyIsResentOnlyWhenProvedNotRun() throws IOException {
+        trace.effect = Settings.Effect.ONCE_ONLY;
+        trace.start().nodes(0, 1);
+        Multiget m = trace.take(3000, 0);
+        trace.to(10).say("turned away unseen: may follow");
+        m.outcome(0, 0, Outcome.FULL, Span.ofMillis(10));
+        trace.to(30).say("reset: may have run, so no resend, and no dismissal");
+        m.outcome(0, 1, Outcome.RESET, Span.ofMillis(10));
+        trace.to(2000);
+        trace.matches("once-only");
+    }
+
+    @Test
+    void taggedIsResentOnlyWithinItsWindow() throws IOException {
+        trace.effect = Settings.Effect.TAGGED;
+        trace.start().nodes(0, 1);
+        Multiget early = trace.take(3000, 0);
+        trace.to(100);
+        early.outcome(0, 0, Outcome.ERROR, Span.ofMillis(100));
+        trace.to(150).say("within the window it followed; now one that errs after the window's end");
+        ok(early, 0, 1, 50);
+        Multiget late = trace.take(3000, 2);
+        trace.nodes(0, 1, 2);
+        trace.to(850);
+        late.outcome(0, 0, Outcome.ERROR, Span.ofMillis(700));
+        trace.to(1000);
+        trace.matches("tagged");
+    }
+
+    @Test
+    void nothingGoesToADrainingOrGoneNode() throws IOException {
+        trace.start().nodes(0, 1);
+        trace.router().nodeListed(1, 1, 0, 1, null, true);
+        trace.take(3000, 0);
+        trace.to(20).say("node 0 is gone: the part waits for node 2");
+        trace.router().nodeGone(0);
+        trace.take(3000, 0);
+        trace.to(40);
+        trace.router().nodeListed(2, 1, 0, 1, null, false);
+        trace.matches("drain");
+    }
+
+    @Test
+    void aColdNodeGetsItsShareOnly() throws IOException {
+        trace.reach = 1;
+        trace.start().nodes(0, 0);
+        trace.say("node 1 is cold, at a fifth of its capacity");
+        trace.router().nodeListed(1, 0, 0, 1, Time.ofMillis(1), false);
+        for (int i = 0; i < 40; i++) {
+            Multiget m = trace.take(3000, 0);
+            trace.to(100 * i + 50);
+            ok(m, 0, 0, 50);
+        }
+        trace.matches("cold");
+    }
+
+    @Test
+    void partialAnswersAreMarkedAndComeAtTheQuotedTime() throws IOException {
+        trace.leastShare = 0.5;
+        trace.start().nodes(0, 2);
+        Multiget m = trace.take(3000, 0, 2);
+        trace.to(50);
+        ok(m, 0, 0, 50);
+        trace.to(1100);
+        trace.matches("partial");
+    }
+
+    @Test
+    void furtherTransmissionsKeepToTheBudget() throws IOException {
+        trace.budgetSpan = Span.ofMillis(10_000);
+        trace.budgetFree = 1;
+        trace.start().nodes(0, 1);
+        Multiget a = trace.take(3000, 0);
+        Multiget b = trace.take(3000, 0);
+        trace.to(10).say("both fail, one may follow");
+        a.outcome(0, 0, Outcome.FULL, Span.ofMillis(10));
+        b.outcome(0, 0, Outcome.FULL, Span.ofMillis(10));
+        trace.to(1200);
+        trace.matches("budget");
+    }
+
+    @Test
+    void aSilentNodeIsLeftAndTriedAgain() throws IOException {
+        trace.start().nodes(0, 1);
+        trace.nodes(0, 1);
+        Multiget m = trace.take(3000, 0);
+        trace.to(400).say("no answer: a second copy went elsewhere, its answer ends the first");
+        ok(m, 0, 1, 50);
+        trace.to(410);
+        m.outcome(0, 0, Outcome.WITHDRAWN, Span.ofMillis(410));
+        for (int i = 0; i < 8; i++) {
+            Multiget next = trace.take(3000, 0);
+            trace.to(450 + 100 * i);
+            ok(next, 0, 0, 50);
+        }
+        trace.matches("silence");
+    }
+
+    @Test
+    void whereCopiesAreForbiddenTheFirstMustEndBeforeTheSecond() throws IOException {
+        trace.copies = false;
+        trace.start().nodes(0, 1);
+        Multiget m = trace.take(3000, 0);
+        trace.to(400).say("withdrawn; its outcome lets the part go elsewhere");
+        m.outcome(0, 0, Outcome.WITHDRAWN, Span.ofMillis(400));
+        trace.matches("no-copies");
+    }
+
+    @Test
+    void aListServiceThatIsDownIsAskedWithPatience() throws IOException {
+        trace.asked = true;
+        trace.start().nodes(0);
+        for (int at = 100; at <= 20_000; at += 100) {
+            trace.to(at);
+            if (at == 100 || at == 1000 || at == 3000 || at == 6000 || at == 10_000) {
+                trace.say("failed");
+                trace.router().listFailed();
+            }
+        }
+        trace.matches("list-down");
+    }
+
+    @Test
+    void whatCannotBeInTimeIsDismissedAtOnce() throws IOException {
+        trace.reach = 1;
+        trace.open = 12;
+        trace.start().nodes(0);
+        for (int i = 0; i < 9; i++) {
+            trace.take(3000, 0);
+        }
+        trace.say("over the cap some go at once, the others when it is too late for them");
+        trace.to(1100);
+        trace.matches("overload");
+    }
+}
--- /dev/null
+++ b/src/test/java/gladewing/router/Trace.java
@@ -0,0 +1,148 @@
+package gladewing.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Plays a router by hand and prints what it decides, a line a decision, to be compared with a kept trace. */
+public final class Trace implements Port {
+    static final int ONE = 0;
+    Settings.Effect effect = Settings.Effect.REPEATABLE;
+    double leastShare = 1;
+    double lateRevenue = 0;
+    boolean copies = true;
+    int perPart = 3;
+    int open = 200;
+    int cells = 4;
+    int reach = 2;
+    Span budgetSpan = Span.ZERO;
+    double budgetFree;
+    double budgetShare;
+    boolean asked;
+
+    private final StringBuilder printed = new StringBuilder();
+    private final List<QueryRouter.Multiget> taken = new ArrayList<>();
+    private QueryRouter router;
+    private Time now = Time.ofMillis(0);
+    private Time wakeAt;
+
+    Trace start() {
+        Settings.Product product = new Settings.Product(Span.ofMillis(1000), 0, Span.ofMillis(3000), 1, lateRevenue,
+                effect, Span.ofMillis(600), leastShare, 1, 0.9, 0);
+        Settings settings = new Settings(1, Span.ofMillis(5),
+                new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
+                        Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
+                new Settings.Allowed(true, true, copies, perPart, open, Span.ZERO),
+                new Settings.Shards(cells, reach, 8), List.of(product), List.of(), asked, true, false, 1, 0, 0);
+        router = new QueryRouter(settings, 7, this, now);
+        return this;
+    }
+
+    /** Nodes in the order of their cells, the first being node 0. */
+    Trace nodes(int... nodeCells) {
+        for (int i = 0; i < nodeCells.length; i++) {
+            router.nodeListed(i, nodeCells[i], 0, 1, null, false);
+        }
+        router.listCame();
+        return this;
+    }
+
+    QueryRouter router() {
+        return router;
+    }
+
+    QueryRouter.Multiget take(double left, int... shards) {
+        QueryRouter.Multiget m = router.take(taken.size(), ONE, 0, Span.ofMillis(left), false);
+        taken.add(m);
+        for (int shard : shards) {
+            m.part(shard, 1.0 / shards.length, 0);
+        }
+        return m;
+    }
+
+    /** Ends this turn, plays the router's own timers up to the time given, and begins a turn then. */
+    Trace to(double millis) {
+        router.endTurn();
+        Time until = Time.ofMillis(millis);
+        while (wakeAt != null && wakeAt.before(until)) {
+            now = wakeAt;
+            wakeAt = null;
+            router.turn(now);
+            router.wake();
+            router.endTurn();
+        }
+        now = until;
+        router.turn(now);
+        return this;
+    }
+
+    Trace say(String what) {
+        printed.append("# ").append(what).append('\n');
+        return this;
+    }
+
+    /** The last turn's decisions are in the printed trace too. */
+    void matches(String name) throws IOException {
+        router.endTurn();
+        assertEquals(kept(name + ".txt"), printed.toString(), name);
+    }
+
+    public static String kept(String file) throws IOException {
+        try (InputStream in = Trace.class.getResourceAsStream("/traces/" + file)) {
+            return in == null ? "" : new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private void print(String what) {
+        printed.append(String.format(Locale.ROOT, "%6.0f  %s%n", now.since(Time.ofMillis(0)).millis(), what));
+    }
+
+    private static String name(QueryRouter.Multiget multiget) {
+        return "multiget " + multiget.ref;
+    }
+
+    @Override
+    public void transmit(QueryRouter.Multiget multiget, int part, int node, Span timeOut) {
+        print(name(multiget) + " part " + part + " to node " + node);
+    }
+
+    @Override
+    public void withdraw(QueryRouter.Multiget multiget, int part, int transmission) {
+        print(name(multiget) + " part " + part + " withdraws transmission " + transmission);
+    }
+
+    @Override
+    public void answer(QueryRouter.Multiget multiget, boolean whole) {
+        print(name(multiget) + (whole ? " answered whole" : " answered in part"));
+    }
+
+    @Override
+    public void dismiss(QueryRouter.Multiget multiget, Span comeBack) {
+        print(name(multiget) + " dismissed");
+    }
+
+    @Override
+    public void giveUp(QueryRouter.Multiget multiget) {
+        print(name(multiget) + " given up");
+    }
+
+    @Override
+    public void probe(int node) {
+        print("probe of node " + node);
+    }
+
+    @Override
+    public void watchList() {
+        print("asks to watch the list");
+    }
+
+    @Override
+    public void wakeAfter(Span span) {
+        wakeAt = now.plus(span);
+    }
+}
