--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -192,6 +192,7 @@
     private boolean waking;
     private boolean crowded;
     private boolean listAsked;
+    private double warmMost;
     private int listFailures;
     private Time askListAt;
 
@@ -306,6 +307,7 @@
             waking = true;
             port.wakeAfter(sweep);
             learn();
+            learnWarm();
             findOverdue();
         }
         if (askListAt != null && !now.before(askListAt)) {
@@ -454,12 +456,21 @@
         if (warmth >= 1) {
             return Double.MAX_VALUE;
         }
+        return warmth * warmMost * settings.rules().fallMultiple() / 2 - node.sent.sum(now, 0);
+    }
+
+    /**
+     * The most that a warm node took in a window, kept for the time when none is warm: a fleet that restarts
+     * as a whole would otherwise stand unused until it is warm.
+     */
+    private void learnWarm() {
         int warm = 0;
         for (Node n : nodes) {
             warm += n != null && n.listed && warmth(n) >= 1 ? 1 : 0;
         }
-        double usual = warmWork.sumWithin(now, 0) / 4 / Math.max(1, warm);
-        return warmth * usual * settings.rules().fallMultiple() / 2 - node.sent.sum(now, 0);
+        if (warm > 0) {
+            warmMost = Math.max(warmMost, warmWork.sumWithin(now, 0) / 4 / warm);
+        }
     }
 
     // ---- outcomes -------------------------------------------------------------------------------
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -109,6 +109,24 @@
         trace.matches("cold");
     }
 
+    @Test
+    void aFleetThatRestartsAsAWholeIsUsedWithinItsColdShare() throws IOException {
+        trace.reach = 1;
+        trace.start().nodes(0);
+        for (int at = 0; at < 3000; at += 50) {
+            Multiget m = trace.take(3000, 0);
+            trace.to(at + 50);
+            ok(m, 0, 0, 50);
+        }
+        trace.to(3000).say("the only node restarts");
+        trace.router().nodeListed(0, 0, 0, 1, Time.ofMillis(3000), false);
+        for (int at = 3000; at < 4000; at += 50) {
+            trace.take(3000, 0);
+            trace.to(at + 50);
+        }
+        trace.matches("all-cold");
+    }
+
     @Test
     void partialAnswersAreMarkedAndComeAtTheQuotedTime() throws IOException {
         trace.leastShare = 0.5;
