--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -330,7 +330,7 @@
         Span slow = middle < 0 ? typical.times(3) : binEnd(times.channelAt(now, 0.95, 20));
         // The slowest answers set the bar, unless a few nodes in trouble gave them: then the median does.
         for (int i = 0; i < usualAnswer.length; i++) {
-            int usual = answerTimes[i].channelAt(now, 0.5, 10);
+            int usual = answerTimes[i].channelAt(now, 0.8, 10);
             usualAnswer[i] = usual < 0 ? typical : binEnd(usual);
         }
         overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), shortestQuoted.times(0.3)));
