--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -177,7 +177,7 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<Multiget> open = new ArrayList<>();
     private final List<Transmission> outstanding = new ArrayList<>();
-    private final Span[] longestTry;
+    private final BucketRing[] tries;
     private final BucketRing times;
     private final BucketRing productTimes;
     private final BucketRing[] answerTimes;
@@ -209,13 +209,14 @@
         sweep = Span.longest(settings.tick(), quoted.times(0.01));
         margin = sweep.plus(settings.tick());
         int products = settings.products().size();
-        longestTry = new Span[products];
+        tries = new BucketRing[products];
         times = new BucketRing(quoted.times(3), 12, BINS);
         productTimes = new BucketRing(quoted.times(12), 12, 2 * products);
         answerTimes = new BucketRing[products];
         usualAnswer = new Span[products];
         for (int i = 0; i < products; i++) {
             answerTimes[i] = new BucketRing(quoted.times(6), 12, BINS);
+            tries[i] = new BucketRing(quoted.times(3), 6, BINS);
         }
         warmWork = new BucketRing(settings.rules().fallSpan().times(4), 8, 1);
         Span budget = settings.rules().budgetSpan();
@@ -244,11 +245,12 @@
                 revenue *= settings.overShareRevenue();
             }
         }
-        // A try cut short of the longest seen is cut by the client's whole time: that tells how old the wish
-        // is, without which a late retry would be worked on as if it were new.
-        longestTry[product] = longestTry[product] == null ? left : Span.longest(longestTry[product], left);
-        boolean cut = (again || !settings.clientsMarkRetries())
-                && longestTry[product].longerThan(left.plus(settings.tick()));
+        // A try shorter than the first tries of late is cut by the client's whole time: that tells how old the
+        // wish is. Only those of late count, as clients may all become less patient within a day.
+        if (!again) {
+            tries[product].add(now, bin(left), 1);
+        }
+        boolean cut = (again || !settings.clientsMarkRetries()) && bin(left) < tries[product].channelAt(now, 1, 1);
         Time from = cut ? now.plus(left).minus(row.limit()) : now;
         Multiget m = new Multiget(ref, product, revenue, from.plus(row.quoted()), now.plus(left));
         open.add(m);
@@ -336,9 +338,9 @@
         overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), shortestQuoted.times(0.3)));
     }
 
-    /** What an unstarted multiget has before it: all its parts, the slowest of which makes the answer. */
-    private boolean tooLate(Multiget m) {
-        return !now.plus(m.firstSent == null ? usualAnswer[m.product] : typical).before(m.quotedAt);
+    /** An unstarted multiget has all its parts before it, the slowest of which makes the answer. */
+    private boolean tooLate(Multiget m, Time end) {
+        return !now.plus(m.firstSent == null ? usualAnswer[m.product] : typical).before(end);
     }
 
     private static Span binEnd(int bin) {
@@ -354,7 +356,7 @@
         double count = productTimes.sum(now, 2 * product);
         double all = 0;
         double allCount = 0;
-        for (int p = 0; p < longestTry.length; p++) {
+        for (int p = 0; p < usualAnswer.length; p++) {
             allCount += productTimes.sum(now, 2 * p);
             all += productTimes.sum(now, 2 * p + 1);
         }
@@ -527,8 +529,8 @@
             answer(m);
         } else if (last) {
             giveUp(m);
-        } else if (!worthLate(m) && (pastQuoted || m.firstSent == null && tooLate(m))
-                || hopeless(m)) {
+        } else if (!worthLate(m) && (pastQuoted || m.firstSent == null && tooLate(m, m.quotedAt))
+                || m.firstSent == null && tooLate(m, m.endsAt) || hopeless(m)) {
             turnAway(m);
         }
     }
@@ -690,7 +692,8 @@
 
     private double inTimeRevenue(Multiget m) {
         double size = settings.revenueByWork() ? Math.max(m.hints, m.parts.size()) : 1;
-        return m.revenue * size * (tooLate(m) ? m.row.lateRevenue() : 1);
+        double inTime = tooLate(m, m.endsAt) ? 0 : tooLate(m, m.quotedAt) ? m.row.lateRevenue() : 1;
+        return m.revenue * size * inTime;
     }
 
     private void sendHeld() {
