--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -188,6 +188,7 @@
     private final BucketRing[] tenantTaken;
     private Time now;
     private Span typical;
+    private Span wanted;
     private Span overdue;
     private boolean waking;
     private boolean crowded;
@@ -245,12 +246,13 @@
                 revenue *= settings.overShareRevenue();
             }
         }
-        // A try shorter than the first tries of late is cut by the client's whole time: that tells how old the
-        // wish is. Only those of late count, as clients may all become less patient within a day.
+        // A try shorter than the first tries of late is cut by the client's whole time: that tells how old
+        // the wish is. Only those of late count, as clients may all become less patient within a day.
         if (!again) {
             tries[product].add(now, bin(left), 1);
         }
-        boolean cut = (again || !settings.clientsMarkRetries()) && bin(left) < tries[product].channelAt(now, 1, 1);
+        boolean cut = (again || !settings.clientsMarkRetries())
+                && bin(left) < tries[product].channelAt(now, 1, 1);
         Time from = cut ? now.plus(left).minus(row.limit()) : now;
         Multiget m = new Multiget(ref, product, revenue, from.plus(row.quoted()), now.plus(left));
         open.add(m);
@@ -331,11 +333,14 @@
         typical = middle < 0 ? shortestQuoted.times(0.1) : binEnd(middle);
         Span slow = middle < 0 ? typical.times(3) : binEnd(times.channelAt(now, 0.95, 20));
         // The slowest answers set the bar, unless a few nodes in trouble gave them: then the median does.
+        wanted = shortestQuoted;
         for (int i = 0; i < usualAnswer.length; i++) {
+            int half = tries[i].channelAt(now, 0.5, 1);
+            wanted = half < 0 ? wanted : Span.shortest(wanted, binEnd(half));
             int usual = answerTimes[i].channelAt(now, 0.8, 10);
             usualAnswer[i] = usual < 0 ? typical : binEnd(usual);
         }
-        overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), shortestQuoted.times(0.3)));
+        overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), wanted.times(0.3)));
     }
 
     /** An unstarted multiget has all its parts before it, the slowest of which makes the answer. */
@@ -512,7 +517,7 @@
         }
         productTimes.add(now, 2 * product, 1);
         productTimes.add(now, 2 * product + 1, took.millis());
-        if (took.longerThan(shortestQuoted.times(0.25))) {
+        if (took.longerThan(wanted.times(0.25))) {
             cut(t);
         } else if (node.inFlight + 1 >= (int) node.limit) {
             node.limit++;
