--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -463,12 +463,12 @@
         if (warmth >= 1) {
             return Double.MAX_VALUE;
         }
-        return warmth * warmMost * settings.rules().fallMultiple() / 2 - node.sent.sum(now, 0);
+        return warmth * warmMost * settings.rules().fallMultiple() * 0.75 - node.sent.sum(now, 0);
     }
 
     /**
-     * The most that a warm node took in a window, kept for the time when none is warm: a fleet that restarts
-     * as a whole would otherwise stand unused until it is warm.
+     * The most that a warm node lately took in a window, kept while none is warm: a fleet that restarts as a
+     * whole would otherwise stand unused. It fades, as the most of routers at different times add up to more.
      */
     private void learnWarm() {
         int warm = 0;
@@ -476,7 +476,8 @@
             warm += n != null && n.listed && warmth(n) >= 1 ? 1 : 0;
         }
         if (warm > 0) {
-            warmMost = Math.max(warmMost, warmWork.sumWithin(now, 0) / 4 / warm);
+            double faded = warmMost * (1 - sweep.millis() / settings.rules().coldSpan().millis());
+            warmMost = Math.max(faded, warmWork.sumWithin(now, 0) / 4 / warm);
         }
     }
 
