--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -381,8 +381,13 @@
 
     // ---- health ---------------------------------------------------------------------------------
 
+    /** A node that answers, though late, is better than none: passed over only while others have places. */
     private boolean fit(Node node) {
-        return node.failures == 0 || !now.before(node.unfitUntil);
+        return node.failures == 0 || !now.before(node.unfitUntil) || crowded && answersLate(node);
+    }
+
+    private boolean answersLate(Node node) {
+        return node.heardAt != null && !node.heardAt.before(node.failedAt);
     }
 
     /** A node on trial gets one call at a time, so that a wrong trust costs one multiget and not many. */
