--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -381,18 +381,19 @@
 
     // ---- health ---------------------------------------------------------------------------------
 
-    /** A node that answers, though late, is better than none: passed over only while others have places. */
     private boolean fit(Node node) {
-        return node.failures == 0 || !now.before(node.unfitUntil) || crowded && answersLate(node);
+        return node.failures == 0 || !now.before(node.unfitUntil) || crowded && answersStill(node);
     }
 
-    private boolean answersLate(Node node) {
-        return node.heardAt != null && !node.heardAt.before(node.failedAt);
+    /** Late or with errors between is better than no place: passed over only while others have one. */
+    private boolean answersStill(Node node) {
+        return node.heardAt != null && overdue.longerThan(now.since(node.heardAt));
     }
 
     /** A node on trial gets one call at a time, so that a wrong trust costs one multiget and not many. */
     private boolean ready(Node node) {
-        return node.listed && node.inFlight < (node.failures > 0 ? 1 : (int) node.limit);
+        boolean trial = node.failures > 0 && !(crowded && answersStill(node));
+        return node.listed && node.inFlight < (trial ? 1 : (int) node.limit);
     }
 
     private void failed(Transmission t) {
