--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -597,7 +597,8 @@
     private void answer(Multiget m) {
         boolean whole = m.whole();
         port.answer(m, whole);
-        if (m.firstSent != null) {
+        // Partial answers wait for the quoted time, and would make every new multiget look too late.
+        if (whole && m.firstSent != null) {
             answerTimes[m.product].add(now, bin(now.since(m.firstSent)), 1);
         }
         if (m.step == 1 && m.row.secondStep() > 0) {
