--- a/src/main/java/gladewing/benchlink/Facts.java
+++ b/src/main/java/gladewing/benchlink/Facts.java
@@ -36,8 +36,7 @@
                 facts.has("Clients") && facts.object("Clients").flag("MarksRetry"),
                 facts.has("WorthBy") && facts.text("WorthBy").equals("work"),
                 facts.number("OverShareWorth", 1),
-                prices.number("LateFail", 0),
-                (int) facts.whole("Az", 0));
+                prices.number("LateFail", 0));
     }
 
     private static List<Settings.Product> products(Message facts, Message shards) {
--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -106,8 +106,8 @@
                 router.nodeGone(index);
             } else {
                 double started = entry.number("StartedAt", 0);
-                router.nodeListed(index, entry.index("Position", cells), (int) entry.whole("Zone", 0),
-                        entry.number("Scale", 1), started > 0 ? Time.ofMillis(started) : null, state == DRAINING);
+                router.nodeListed(index, entry.index("Position", cells),
+                        started > 0 ? Time.ofMillis(started) : null, state == DRAINING);
             }
         }
         for (int i = 0; i < nodes.size(); i++) {
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -22,11 +22,10 @@
     private static final class Node {
         final int index;
         int cell;
-        double size;
         Time startedAt;
         boolean listed;
         int inFlight;
-        double limit;
+        double limit = 2;
         int failures;
         Time failedAt;
         Time unfitUntil;
@@ -259,7 +258,7 @@
         return m;
     }
 
-    public void nodeListed(int index, int cell, int zone, double size, Time startedAt, boolean draining) {
+    public void nodeListed(int index, int cell, Time startedAt, boolean draining) {
         while (nodes.size() <= index) {
             nodes.add(null);
         }
@@ -268,11 +267,9 @@
         if (node == null || restarted || node.sent == null) {
             node = new Node(index);
             node.sent = new BucketRing(settings.rules().fallSpan(), 6, 1);
-            node.limit = peersLimit();
             nodes.set(index, node);
         }
         node.cell = cell;
-        node.size = size;
         node.startedAt = startedAt;
         node.listed = !draining;
     }
@@ -326,8 +323,6 @@
         sendHeld();
     }
 
-    // ---- what is learned ------------------------------------------------------------------------
-
     private void learn() {
         int middle = times.channelAt(now, 0.5, 20);
         typical = middle < 0 ? shortestQuoted.times(0.1) : binEnd(middle);
@@ -368,19 +363,6 @@
         return count < 10 ? 1 : productTimes.sum(now, 2 * product + 1) / count / (all / allCount);
     }
 
-    private double peersLimit() {
-        List<Double> limits = new ArrayList<>();
-        for (Node n : nodes) {
-            if (n != null && n.listed) {
-                limits.add(n.limit);
-            }
-        }
-        limits.sort(Comparator.naturalOrder());
-        return limits.isEmpty() ? 2 : limits.get(limits.size() / 2);
-    }
-
-    // ---- health ---------------------------------------------------------------------------------
-
     private boolean fit(Node node) {
         return node.failures == 0 || !now.before(node.unfitUntil) || crowded && answersStill(node);
     }
@@ -451,8 +433,6 @@
         return false;
     }
 
-    // ---- cold nodes -----------------------------------------------------------------------------
-
     /** The share of its capacity that a node surely has by now; 1 when it is warm. */
     private double warmth(Node node) {
         if (node.startedAt == null) {
@@ -487,8 +467,6 @@
         }
     }
 
-    // ---- outcomes -------------------------------------------------------------------------------
-
     private void ended(Transmission t, Outcome outcome, Span took) {
         if (!t.out) {
             return;
@@ -531,13 +509,11 @@
         }
     }
 
-    // ---- final answers --------------------------------------------------------------------------
-
     /** Ends what can't be answered in time at once: an end held back would only cost its client time. */
     private void settle(Multiget m) {
         boolean pastQuoted = !now.before(m.quotedAt.minus(margin));
         boolean last = !now.before(m.endsAt.minus(margin));
-        if ((pastQuoted || last) && m.enough()) {
+        if ((pastQuoted || last || crowded && restIsHeld(m)) && m.enough()) {
             answer(m);
         } else if (last) {
             giveUp(m);
@@ -547,6 +523,16 @@
         }
     }
 
+    /** In a jam a multiget whose least share is in does not wait for parts that are not even out. */
+    private boolean restIsHeld(Multiget m) {
+        for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
+            if (p.out() > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /**
      * Where failing after the quoted time costs more than a late answer earns, it is the end; and where parts
      * are held for want of places, a late answer would push one in time past its own quoted time.
@@ -645,8 +631,6 @@
         }
     }
 
-    // ---- sending --------------------------------------------------------------------------------
-
     private static boolean provedNotRun(Part part) {
         for (Transmission t : part.sent) {
             if (t.out || !t.neverRan) {
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -85,13 +85,13 @@
     @Test
     void nothingGoesToADrainingOrGoneNode() throws IOException {
         trace.start().nodes(0, 1);
-        trace.router().nodeListed(1, 1, 0, 1, null, true);
+        trace.router().nodeListed(1, 1, null, true);
         trace.take(3000, 0);
         trace.to(20).say("node 0 is gone: the part waits for node 2");
         trace.router().nodeGone(0);
         trace.take(3000, 0);
         trace.to(40);
-        trace.router().nodeListed(2, 1, 0, 1, null, false);
+        trace.router().nodeListed(2, 1, null, false);
         trace.matches("drain");
     }
 
@@ -100,7 +100,7 @@
         trace.reach = 1;
         trace.start().nodes(0, 0);
         trace.say("node 1 is cold, at a fifth of its capacity");
-        trace.router().nodeListed(1, 0, 0, 1, Time.ofMillis(1), false);
+        trace.router().nodeListed(1, 0, Time.ofMillis(1), false);
         for (int i = 0; i < 40; i++) {
             Multiget m = trace.take(3000, 0);
             trace.to(100 * i + 50);
@@ -119,7 +119,7 @@
             ok(m, 0, 0, 50);
         }
         trace.to(3000).say("the only node restarts");
-        trace.router().nodeListed(0, 0, 0, 1, Time.ofMillis(3000), false);
+        trace.router().nodeListed(0, 0, Time.ofMillis(3000), false);
         for (int at = 3000; at < 4000; at += 50) {
             trace.take(3000, 0);
             trace.to(at + 50);
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -38,7 +38,7 @@
                 new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
                         Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
                 new Settings.Allowed(true, true, copies, perPart, open, Span.ZERO),
-                new Settings.Shards(cells, reach, 8), List.of(product), List.of(), asked, true, false, 1, 0, 0);
+                new Settings.Shards(cells, reach, 8), List.of(product), List.of(), asked, true, false, 1, 0);
         router = new QueryRouter(settings, 7, this, now);
         return this;
     }
@@ -46,7 +46,7 @@
     /** Nodes in the order of their cells, the first being node 0. */
     Trace nodes(int... nodeCells) {
         for (int i = 0; i < nodeCells.length; i++) {
-            router.nodeListed(i, nodeCells[i], 0, 1, null, false);
+            router.nodeListed(i, nodeCells[i], null, false);
         }
         router.listCame();
         return this;
