--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -338,9 +338,12 @@
         overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), wanted.times(0.3)));
     }
 
-    /** An unstarted multiget has all its parts before it, the slowest of which makes the answer. */
+    /**
+     * An unstarted multiget has all its parts before it, the slowest of which makes the answer; where there
+     * are places for all, only what surely comes too late is not tried.
+     */
     private boolean tooLate(Multiget m, Time end) {
-        return !now.plus(m.firstSent == null ? usualAnswer[m.product] : typical).before(end);
+        return !now.plus(m.firstSent == null && crowded ? usualAnswer[m.product] : typical).before(end);
     }
 
     private static Span binEnd(int bin) {
