--- a/src/main/java/gladewing/benchlink/Facts.java
+++ b/src/main/java/gladewing/benchlink/Facts.java
@@ -33,7 +33,6 @@
                 products(facts, shards),
                 tenants(facts),
                 asked,
-                facts.has("Clients") && facts.object("Clients").flag("MarksRetry"),
                 facts.has("WorthBy") && facts.text("WorthBy").equals("work"),
                 facts.number("OverShareWorth", 1),
                 prices.number("LateFail", 0));
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -250,8 +250,7 @@
         if (!again) {
             tries[product].add(now, bin(left), 1);
         }
-        boolean cut = (again || !settings.clientsMarkRetries())
-                && bin(left) < tries[product].channelAt(now, 1, 1);
+        boolean cut = again && bin(left) < tries[product].channelAt(now, 1, 1);
         Time from = cut ? now.plus(left).minus(row.limit()) : now;
         Multiget m = new Multiget(ref, product, revenue, from.plus(row.quoted()), now.plus(left));
         open.add(m);
