--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -606,7 +606,8 @@
             harmless &= m.row.effect() == Settings.Effect.REPEATABLE || provedNotRun(p);
         }
         if (harmless) {
-            port.dismiss(m, Span.shortest(typical, settings.allowed().comeBack()));
+            // What comes back into a jam feeds it, so there the longest wait that clients heed is asked for.
+            port.dismiss(m, Span.shortest(crowded ? m.row.quoted() : typical, settings.allowed().comeBack()));
             close(m);
         } else {
             giveUp(m);
