--- a/src/main/java/gladewing/benchlink/BenchLink.java
+++ b/src/main/java/gladewing/benchlink/BenchLink.java
@@ -19,7 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Speaks the bench's wire: batches of events in, one reply a batch out, for many routers that share nothing. */
+/** Speaks the bench's wire: batches of events in, one reply a batch out, for routers that share nothing. */
 public final class BenchLink {
     private static final int LISTS = 16;
 
--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -17,12 +17,12 @@
 /** One router on the wire: ids to indices on the way in, and back on the way out. */
 final class Instance implements Port {
     static final int LIST_FAILED = 3;
-    private static final Outcome[] OUTCOMES = {null, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMED_OUT,
-        Outcome.NOT_CONNECTED, Outcome.RESET, Outcome.WITHDRAWN, Outcome.NOT_SENT};
+    private static final Outcome[] OUTCOMES = {null, Outcome.OK, Outcome.ERROR, Outcome.FULL,
+        Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.RESET, Outcome.WITHDRAWN, Outcome.NOT_SENT};
     private static final int GONE = 0;
     private static final int DRAINING = 2;
 
-    /** What is known of a multiget's wire ids, from its taking until it has ended and nothing of it is out. */
+    /** What is known of a multiget's wire ids, until it has ended and nothing of it is out. */
     private static final class Held {
         final long id;
         final long number;
@@ -185,7 +185,8 @@
         }
         Integer node = nodeIndex.get(message.whole("Node"));
         place.held.out--;
-        place.held.multiget.outcome(place.part, hop, OUTCOMES[code], Span.ofMillis(message.number("Duration")));
+        place.held.multiget.outcome(place.part, hop, OUTCOMES[code],
+                Span.ofMillis(message.number("Duration")));
         if (node != null) {
             nodes.get(node).out--;
             letGoOfNode(node);
--- a/src/main/java/gladewing/benchlink/Message.java
+++ b/src/main/java/gladewing/benchlink/Message.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** One JSON object off the wire, read by field; what is missing or of another kind is named in the complaint. */
+/** One JSON object off the wire, read by field; what is missing or wrong is named in the complaint. */
 final class Message {
     private final String path;
     private final Map<String, Object> fields;
--- a/src/main/java/gladewing/router/BucketRing.java
+++ b/src/main/java/gladewing/router/BucketRing.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 
-/** Sums kept in time buckets of one length, which are used again in a ring; several channels share the buckets. */
+/** Sums kept in time buckets of one length, used again in a ring; several channels share the buckets. */
 public final class BucketRing {
     private final long bucketMicros;
     private final int channels;
@@ -36,7 +36,7 @@
         return sum(now, channel) - buckets[slot(newest + 1)][channel];
     }
 
-    /** The channel below which the given share of the whole sum lies, or -1 where the sum is under the least. */
+    /** The channel below which the given share of the sum lies, or -1 where the sum is under the least. */
     public int channelAt(Time now, double share, double least) {
         turn(now);
         double[] sums = new double[channels];
--- a/src/main/java/gladewing/router/Settings.java
+++ b/src/main/java/gladewing/router/Settings.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /** What one router is told at its start; nothing here is chosen by this project. */
-public record Settings(int routers, Span tick, Rules rules, Allowed allowed, Shards shards, List<Product> products,
-        List<Tenant> tenants, boolean listMustBeAsked, boolean revenueByWork,
+public record Settings(int routers, Span tick, Rules rules, Allowed allowed, Shards shards,
+        List<Product> products, List<Tenant> tenants, boolean listMustBeAsked, boolean revenueByWork,
         double overShareRevenue, double lateFailPrice) {
 
     public enum Effect { REPEATABLE, TAGGED, ONCE_ONLY }
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -205,4 +205,37 @@
         trace.to(1100);
         trace.matches("overload");
     }
+
+    @Test
+    void inAJamANodeThatErrsNowAndThenIsUsed() throws IOException {
+        trace.reach = 1;
+        trace.start().nodes(0, 0);
+        for (int i = 0; i < 4; i++) {
+            trace.take(3000, 0);
+        }
+        trace.to(20).say("node 0 is full; node 1 errs after a success, yet gets the held part at once");
+        ok(trace.taken(0), 0, 0, 20);
+        trace.to(25);
+        trace.taken(1).outcome(0, 0, Outcome.ERROR, Span.ofMillis(25));
+        trace.to(60);
+        trace.matches("jam-errors");
+    }
+
+    @Test
+    void inAJamTheLeastShareIsAnsweredAtOnce() throws IOException {
+        trace.leastShare = 0.5;
+        trace.start().nodes(0);
+        Multiget m = trace.take(3000, 0, 2);
+        trace.to(50).say("no node holds shard 2, so its part is held");
+        ok(m, 0, 0, 50);
+        trace.matches("jam-partial");
+    }
+
+    @Test
+    void aTryTooShortForAnAnswerIsNotStarted() throws IOException {
+        trace.start().nodes(0);
+        trace.take(60, 0);
+        trace.take(600, 0);
+        trace.matches("short-try");
+    }
 }
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -32,8 +32,8 @@
     private Time wakeAt;
 
     Trace start() {
-        Settings.Product product = new Settings.Product(Span.ofMillis(1000), 0, Span.ofMillis(3000), 1, lateRevenue,
-                effect, Span.ofMillis(600), leastShare, 1, 0.9, 0);
+        Settings.Product product = new Settings.Product(Span.ofMillis(1000), 0, Span.ofMillis(3000), 1,
+                lateRevenue, effect, Span.ofMillis(600), leastShare, 1, 0.9, 0);
         Settings settings = new Settings(1, Span.ofMillis(5),
                 new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
                         Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
@@ -65,6 +65,10 @@
         return m;
     }
 
+    QueryRouter.Multiget taken(int ref) {
+        return taken.get(ref);
+    }
+
     /** Ends this turn, plays the router's own timers up to the time given, and begins a turn then. */
     Trace to(double millis) {
         router.endTurn();
