--- a/src/main/java/gladewing/benchlink/Facts.java
+++ b/src/main/java/gladewing/benchlink/Facts.java
@@ -44,7 +44,8 @@
             int at = products.size();
             products.add(new Settings.Product(
                     span(row, "Objective"), row.number("AimStretch", 0), span(row, "GiveUp"),
-                    row.number("Worth"), row.number("LateWorth", 0), effect(row), Span.ofMillis(row.number("DedupWindow", 0)),
+                    row.number("Worth"), row.number("LateWorth", 0), effect(row),
+                    Span.ofMillis(row.number("DedupWindow", 0)),
                     shards.number("FloorByClass", at, 1), shards.number("WholeAt", at, 1),
                     shards.number("IncompleteWorth", at, 0), (int) shards.number("SecondStep", at, 0)));
         }
--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -211,10 +211,10 @@
 
     void probed(Message message) {
         Integer node = nodeIndex.get(message.whole("Node"));
-        boolean runs = message.index("Code", OUTCOMES.length) == 1;
+        Outcome outcome = OUTCOMES[message.index("Code", OUTCOMES.length)];
         if (node != null) {
             nodes.get(node).out--;
-            router.probed(node, runs);
+            router.probed(node, outcome);
             letGoOfNode(node);
         }
     }
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -19,6 +19,8 @@
     private static final double BIN_RATIO = Math.log(1.15);
     private static final int BINS = 80;
 
+    private enum Probe { NONE, OUT, DONE }
+
     private static final class Node {
         final int index;
         int cell;
@@ -32,6 +34,7 @@
         Time cutAt;
         Time timelyAt;
         Time heardAt;
+        Probe probe = Probe.NONE;
         BucketRing sent;
 
         Node(int index) {
@@ -73,11 +76,7 @@
         }
 
         int out() {
-            int out = 0;
-            for (Transmission t : sent) {
-                out += t.out ? 1 : 0;
-            }
-            return out;
+            return (int) sent.stream().filter(t -> t.out).count();
         }
     }
 
@@ -136,11 +135,7 @@
         }
 
         private double weightIn() {
-            double in = 0;
-            for (Part p : parts.subList(stepFrom, parts.size())) {
-                in += p.in ? p.weight : 0;
-            }
-            return in + ROUNDING;
+            return ROUNDING + stepParts().stream().filter(p -> p.in).mapToDouble(p -> p.weight).sum();
         }
 
         private boolean whole() {
@@ -148,12 +143,11 @@
         }
 
         private boolean allIn() {
-            for (Part p : parts.subList(stepFrom, parts.size())) {
-                if (!p.in) {
-                    return false;
-                }
-            }
-            return parts.size() > stepFrom;
+            return parts.size() > stepFrom && stepParts().stream().allMatch(p -> p.in);
+        }
+
+        private List<Part> stepParts() {
+            return parts.subList(stepFrom, parts.size());
         }
 
         private boolean enough() {
@@ -295,7 +289,19 @@
         askListAt = settings.listMustBeAsked() ? now.plus(wait) : null;
     }
 
-    public void probed(int node, boolean runs) {
+    /**
+     * A probe tells little more than that a process runs, but where none does it spares a multiget the trial.
+     * One that is slow or unanswered tells nothing: the way may be slow and the node good.
+     */
+    public void probed(int index, Outcome outcome) {
+        Node node = index < nodes.size() ? nodes.get(index) : null;
+        if (node != null && node.probe == Probe.OUT) {
+            node.probe = outcome == Outcome.NOT_CONNECTED ? Probe.NONE : Probe.DONE;
+            if (outcome == Outcome.NOT_CONNECTED) {
+                node.failures++;
+                strike(node);
+            }
+        }
     }
 
     public void wake() {
@@ -366,7 +372,9 @@
     }
 
     private boolean fit(Node node) {
-        return node.failures == 0 || !now.before(node.unfitUntil) || crowded && answersStill(node);
+        boolean trial = !now.before(node.unfitUntil == null ? now : node.unfitUntil)
+                && (node.probe == Probe.DONE || !settings.allowed().probes());
+        return node.failures == 0 || trial || crowded && answersStill(node);
     }
 
     /** Late or with errors between is better than no place: passed over only while others have one. */
@@ -385,13 +393,18 @@
         if (node.failedAt == null || !t.sentAt.before(node.failedAt)) {
             node.failures++;
             node.failedAt = now;
-            // Grows with each failure in a row: a stall taken for a failure must not empty a set for long.
-            Span window = overdue.times(1 << Math.min(node.failures - 1, 8));
-            node.unfitUntil = now.plus(Span.shortest(UNFIT, window));
+            node.probe = Probe.NONE;
+            strike(node);
         }
         cut(t);
     }
 
+    private void strike(Node node) {
+        // Grows with each failure in a row: a stall taken for a failure must not empty a set for long.
+        Span window = overdue.times(1 << Math.min(node.failures - 1, 8));
+        node.unfitUntil = now.plus(Span.shortest(UNFIT, window));
+    }
+
     /** Once a round trip: what was sent before the last cut tells nothing about the limit after it. */
     private void cut(Transmission t) {
         Node node = t.node;
@@ -402,6 +415,13 @@
     }
 
     private void findOverdue() {
+        for (Node n : nodes) {
+            if (n != null && n.listed && n.failures > 0 && n.probe == Probe.NONE
+                    && settings.allowed().probes() && !now.before(n.unfitUntil)) {
+                n.probe = Probe.OUT;
+                port.probe(n.index);
+            }
+        }
         for (Transmission t : new ArrayList<>(outstanding)) {
             Span age = now.since(t.sentAt);
             if (!t.overdue && age.longerThan(overdue.times(1 / warmth(t.node)))) {
@@ -427,12 +447,7 @@
      * only when another node stands ready, and not soon from a node that still answers, slow as it may be.
      */
     private boolean elsewhere(Part part) {
-        for (Node node : nodes) {
-            if (node != null && fit(node) && ready(node) && canServe(node, part)) {
-                return true;
-            }
-        }
-        return false;
+        return nodes.stream().anyMatch(n -> n != null && fit(n) && ready(n) && canServe(n, part));
     }
 
     /** The share of its capacity that a node surely has by now; 1 when it is warm. */
@@ -459,10 +474,7 @@
      * whole would otherwise stand unused. It fades, as the most of routers at different times add up to more.
      */
     private void learnWarm() {
-        int warm = 0;
-        for (Node n : nodes) {
-            warm += n != null && n.listed && warmth(n) >= 1 ? 1 : 0;
-        }
+        long warm = nodes.stream().filter(n -> n != null && n.listed && warmth(n) >= 1).count();
         if (warm > 0) {
             double faded = warmMost * (1 - sweep.millis() / settings.rules().coldSpan().millis());
             warmMost = Math.max(faded, warmWork.sumWithin(now, 0) / 4 / warm);
@@ -527,12 +539,7 @@
 
     /** In a jam a multiget whose least share is in does not wait for parts that are not even out. */
     private boolean restIsHeld(Multiget m) {
-        for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
-            if (p.out() > 0) {
-                return false;
-            }
-        }
-        return true;
+        return m.stepParts().stream().allMatch(p -> p.out() == 0);
     }
 
     /**
@@ -546,7 +553,7 @@
     private boolean hopeless(Multiget m) {
         double reachable = ROUNDING;
         boolean all = true;
-        for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
+        for (Part p : m.stepParts()) {
             boolean may = p.in || p.out() > 0 || mayFollow(p);
             all &= may;
             reachable += may ? p.weight : 0;
@@ -635,12 +642,7 @@
     }
 
     private static boolean provedNotRun(Part part) {
-        for (Transmission t : part.sent) {
-            if (t.out || !t.neverRan) {
-                return false;
-            }
-        }
-        return true;
+        return part.sent.stream().allMatch(t -> !t.out && t.neverRan);
     }
 
     /** Rule 2 and the limit per part: whether the part may be sent once more, whoever asks and why. */
@@ -673,7 +675,7 @@
 
     private List<Part> wanting(Multiget m, boolean copies) {
         List<Part> wanting = new ArrayList<>();
-        for (Part p : m.parts.subList(m.stepFrom, m.parts.size())) {
+        for (Part p : m.stepParts()) {
             if (p.in || !mayFollow(p) || !p.sent.isEmpty() && !budgetLeft()) {
                 continue;
             }
@@ -764,12 +766,7 @@
 
     /** Fit though busy is still better than in doubt: a part must not be wasted on the doubtful. */
     private boolean hasFitNode(Part part) {
-        for (Node node : nodes) {
-            if (node != null && node.listed && fit(node) && canServe(node, part)) {
-                return true;
-            }
-        }
-        return false;
+        return nodes.stream().anyMatch(n -> n != null && n.listed && fit(n) && canServe(n, part));
     }
 
     private int covers(Node node, List<Part> parts) {
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -238,4 +238,18 @@
         trace.take(600, 0);
         trace.matches("short-try");
     }
+
+    @Test
+    void aRefusedProbePutsOffTheTrial() throws IOException {
+        trace.reach = 1;
+        trace.probes = true;
+        trace.start().nodes(0);
+        Multiget m = trace.take(3000, 0);
+        trace.to(50);
+        m.outcome(0, 0, Outcome.NOT_CONNECTED, Span.ofMillis(50));
+        trace.to(360).say("the window has ended, and so has the probe: nobody is there");
+        trace.router().probed(0, Outcome.NOT_CONNECTED);
+        trace.to(700).say("still held; a probe that succeeds would have let the part go at 350");
+        trace.matches("probe");
+    }
 }
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -24,6 +24,7 @@
     double budgetFree;
     double budgetShare;
     boolean asked;
+    boolean probes;
 
     private final StringBuilder printed = new StringBuilder();
     private final List<QueryRouter.Multiget> taken = new ArrayList<>();
@@ -37,7 +38,7 @@
         Settings settings = new Settings(1, Span.ofMillis(5),
                 new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
                         Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
-                new Settings.Allowed(true, true, copies, perPart, open, Span.ZERO),
+                new Settings.Allowed(probes, true, copies, perPart, open, Span.ZERO),
                 new Settings.Shards(cells, reach, 8), List.of(product), List.of(), asked, false, 1, 0);
         router = new QueryRouter(settings, 7, this, now);
         return this;
