--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -516,7 +516,7 @@
         }
         productTimes.add(now, 2 * product, 1);
         productTimes.add(now, 2 * product + 1, took.millis());
-        if (took.longerThan(wanted.times(0.18))) {
+        if (took.longerThan(wanted.times(0.13))) {
             cut(t);
         } else if (node.inFlight + 1 >= (int) node.limit) {
             node.limit++;
