--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -516,7 +516,8 @@
         }
         productTimes.add(now, 2 * product, 1);
         productTimes.add(now, 2 * product + 1, took.millis());
-        if (took.longerThan(wanted.times(0.13))) {
+        // The median guards products whose own work is longer: their limits must not all sink to one.
+        if (took.longerThan(Span.longest(wanted.times(0.13), typical))) {
             cut(t);
         } else if (node.inFlight + 1 >= (int) node.limit) {
             node.limit++;
