--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -38,8 +38,8 @@
         trace.take(3000, 0);
         trace.to(70).say("an error makes the node unfit: held again until it turns fit");
         second.outcome(0, 0, Outcome.ERROR, Span.ofMillis(70));
-        trace.to(200).say("a later success");
-        ok(third, 0, 0, 140);
+        trace.to(150).say("a later success");
+        ok(third, 0, 0, 90);
         trace.matches("holding");
     }
 
