--- a/src/main/java/gladewing/benchlink/BenchLink.java
+++ b/src/main/java/gladewing/benchlink/BenchLink.java
@@ -51,7 +51,7 @@
         } catch (BadMessage bad) {
             complain(bad.getMessage());
         } catch (JsonProcessingException bad) {
-            complain("not a JSON message: " + bad.getOriginalMessage());
+            complain("not a JSON message: " + bad.getOriginalMessage().replaceFirst(" \\(start marker.*", ""));
         }
         return 1;
     }
