--- a/src/main/java/gladewing/router/Settings.java
+++ b/src/main/java/gladewing/router/Settings.java
@@ -17,7 +17,7 @@
             int open, Span comeBack) { }
 
     /** A shard is held by the nodes of the cell (shard + j) mod cells, for j from 0 to reach - 1. */
-    public record Shards(int cells, int reach, int perCall) { }
+    public record Shards(int cells, int reach) { }
 
     public record Product(Span quoted, double quotedStretch, Span limit, double revenue, double lateRevenue,
             Effect effect, Span repeatWindow, double leastShare, double wholeShare, double partialRevenue,
