--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -792,8 +792,9 @@
                 return false;
             }
         }
-        return part.sent.isEmpty() || node.failures == 0
-                || part.sent.size() + 1 < settings.allowed().transmissionsPerPart();
+        // The budget is asked for each part as it goes, since those of one cover use it up one by one.
+        return part.sent.isEmpty() || budgetLeft() && (node.failures == 0
+                || part.sent.size() + 1 < settings.allowed().transmissionsPerPart());
     }
 
     private void transmit(Part part, Node node) {
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -252,4 +252,18 @@
         trace.to(700).say("still held; a probe that succeeds would have let the part go at 350");
         trace.matches("probe");
     }
+
+    @Test
+    void partsSentTogetherKeepToTheBudgetToo() throws IOException {
+        trace.budgetSpan = Span.ofMillis(10_000);
+        trace.budgetFree = 1;
+        trace.start().nodes(0, 1);
+        Multiget m = trace.take(3000, 0, 0, 0);
+        trace.to(10).say("all three fail, one may follow");
+        for (int part = 0; part < 3; part++) {
+            m.outcome(part, 0, Outcome.FULL, Span.ofMillis(10));
+        }
+        trace.to(500);
+        trace.matches("budget-together");
+    }
 }
