Tidy: one final-answer test, one strike, one free-index search; dead state and settings go

The adapter asked the products' settings again whether an answer is final, and now asks the multiget. The order at the cap is computed only at the cap.

--- a/src/main/java/gladewing/benchlink/Facts.java
+++ b/src/main/java/gladewing/benchlink/Facts.java
@@ -46,7 +46,7 @@
                     row.number("Worth"), row.number("LateWorth", 0), effect(row),
                     Span.ofMillis(row.number("DedupWindow", 0)),
                     shards.number("FloorByClass", at, 1), shards.number("WholeAt", at, 1),
-                    shards.number("IncompleteWorth", at, 0), (int) shards.number("SecondStep", at, 0)));
+                    (int) shards.number("SecondStep", at, 0)));
         }
         return products;
     }
--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -57,7 +57,6 @@
     private final int tenants;
     private final int shards;
     private final int cells;
-    private final int[] steps;
     private final QueryRouter router;
     private final Map<Long, Place> places = new HashMap<>();
     private final Map<Long, Held> byNumber = new HashMap<>();
@@ -73,7 +72,6 @@
         this.tenants = Math.max(1, settings.tenants().size());
         this.shards = (int) facts.object("Specifics").whole("Ranges");
         this.cells = settings.shards().cells();
-        this.steps = settings.products().stream().mapToInt(Settings.Product::secondStep).toArray();
         this.router = new QueryRouter(settings, seed, this, now);
     }
 
@@ -121,12 +119,17 @@
         router.listCame();
     }
 
-    private int newNode(long id) {
-        int index = nodes.indexOf(null);
+    private static int freeIndex(List<?> table) {
+        int index = table.indexOf(null);
         if (index < 0) {
-            index = nodes.size();
-            nodes.add(null);
+            index = table.size();
+            table.add(null);
         }
+        return index;
+    }
+
+    private int newNode(long id) {
+        int index = freeIndex(nodes);
         nodes.set(index, new Listed(id));
         nodeIndex.put(id, index);
         return index;
@@ -147,11 +150,7 @@
         double heft = message.number("Heft");
         double hint = message.number("WeightHint", 0);
         if (shard < 0) {
-            int ref = refs.indexOf(null);
-            if (ref < 0) {
-                ref = refs.size();
-                refs.add(null);
-            }
+            int ref = freeIndex(refs);
             Held held = new Held(id, number, ref);
             refs.set(ref, held);
             byNumber.put(number, held);
@@ -260,7 +259,7 @@
         number("Tid", held.id);
         flag("Complete", whole);
         close();
-        if (multiget.step() > 1 || steps[multiget.product()] == 0) {
+        if (multiget.nextAnswerIsFinal()) {
             end(held);
         }
     }
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -35,10 +35,11 @@
         Time timelyAt;
         Time heardAt;
         Probe probe = Probe.NONE;
-        BucketRing sent;
+        final BucketRing sent;
 
-        Node(int index) {
+        Node(int index, Span window) {
             this.index = index;
+            this.sent = new BucketRing(window, 6, 1);
         }
     }
 
@@ -106,13 +107,9 @@
             this.endsAt = endsAt;
         }
 
-        public int product() {
-            return product;
-        }
-
-        /** 2 from the first answer on, where the product has a second step. */
-        public int step() {
-            return step;
+        /** False for the first answer of a product that has a second step. */
+        public boolean nextAnswerIsFinal() {
+            return step > 1 || row.secondStep() == 0;
         }
 
         public void part(int shard, double weight, double hint) {
@@ -185,7 +182,6 @@
     private Span overdue;
     private boolean waking;
     private boolean crowded;
-    private boolean listAsked;
     private double warmMost;
     private int listFailures;
     private Time askListAt;
@@ -257,9 +253,8 @@
         }
         Node node = nodes.get(index);
         boolean restarted = node != null && startedAt != null && !startedAt.equals(node.startedAt);
-        if (node == null || restarted || node.sent == null) {
-            node = new Node(index);
-            node.sent = new BucketRing(settings.rules().fallSpan(), 6, 1);
+        if (node == null || restarted) {
+            node = new Node(index, settings.rules().fallSpan());
             nodes.set(index, node);
         }
         node.cell = cell;
@@ -268,16 +263,13 @@
     }
 
     public void nodeGone(int index) {
-        if (index < nodes.size() && nodes.get(index) != null) {
-            nodes.get(index).listed = false;
+        if (index < nodes.size()) {
             nodes.set(index, null);
         }
     }
 
     public void listCame() {
-        if (listAsked) {
-            listFailures = 0;
-        }
+        listFailures = 0;
     }
 
     /** The list service is shared and small: each failure doubles the wait; chance keeps routers apart. */
@@ -298,7 +290,6 @@
         if (node != null && node.probe == Probe.OUT) {
             node.probe = outcome == Outcome.NOT_CONNECTED ? Probe.NONE : Probe.DONE;
             if (outcome == Outcome.NOT_CONNECTED) {
-                node.failures++;
                 strike(node);
             }
         }
@@ -318,7 +309,6 @@
         }
         if (askListAt != null && !now.before(askListAt)) {
             askListAt = null;
-            listAsked = true;
             port.watchList();
         }
         for (Multiget m : new ArrayList<>(open)) {
@@ -332,7 +322,6 @@
         int middle = times.channelAt(now, 0.5, 20);
         typical = middle < 0 ? shortestQuoted.times(0.1) : binEnd(middle);
         Span slow = middle < 0 ? typical.times(3) : binEnd(times.channelAt(now, 0.95, 20));
-        // The slowest answers set the bar, unless a few nodes in trouble gave them: then the median does.
         wanted = shortestQuoted;
         for (int i = 0; i < usualAnswer.length; i++) {
             int half = tries[i].channelAt(now, 0.5, 1);
@@ -340,6 +329,7 @@
             int usual = answerTimes[i].channelAt(now, 0.8, 10);
             usualAnswer[i] = usual < 0 ? typical : binEnd(usual);
         }
+        // The slowest answers set the bar, unless a few nodes in trouble gave them: then the median does.
         overdue = Span.longest(typical.times(3), Span.shortest(slow.times(1.5), wanted.times(0.3)));
     }
 
@@ -391,7 +381,6 @@
     private void failed(Transmission t) {
         Node node = t.node;
         if (node.failedAt == null || !t.sentAt.before(node.failedAt)) {
-            node.failures++;
             node.failedAt = now;
             node.probe = Probe.NONE;
             strike(node);
@@ -400,6 +389,7 @@
     }
 
     private void strike(Node node) {
+        node.failures++;
         // Grows with each failure in a row: a stall taken for a failure must not empty a set for long.
         Span window = overdue.times(1 << Math.min(node.failures - 1, 8));
         node.unfitUntil = now.plus(Span.shortest(UNFIT, window));
@@ -571,13 +561,13 @@
         int held = 0;
         for (Multiget m : open) {
             held += 1 + m.parts.size();
-            m.order = inTimeRevenue(m) / (1 + m.parts.size());
         }
         if (held < settings.allowed().open()) {
             return;
         }
         List<Multiget> least = new ArrayList<>(open);
         least.removeIf(m -> m.firstSent != null && now.before(m.quotedAt));
+        least.forEach(m -> m.order = order(m, m.parts.size()));
         least.sort(Comparator.comparingDouble((Multiget m) -> m.order));
         for (Multiget m : least) {
             int without = held - 1 - m.parts.size();
@@ -597,23 +587,19 @@
         if (whole && m.firstSent != null) {
             answerTimes[m.product].add(now, bin(now.since(m.firstSent)), 1);
         }
-        if (m.step == 1 && m.row.secondStep() > 0) {
+        if (m.nextAnswerIsFinal()) {
+            close(m);
+        } else {
             m.parts.forEach(this::withdraw);
             m.firstWhole = whole;
             m.step = 2;
             m.stepFrom = m.parts.size();
-        } else {
-            close(m);
         }
     }
 
     /** Rule 2: a dismissal says that asking again is harmless; without proof this is a give-up. */
     private void turnAway(Multiget m) {
-        boolean harmless = true;
-        for (Part p : m.parts) {
-            harmless &= m.row.effect() == Settings.Effect.REPEATABLE || provedNotRun(p);
-        }
-        if (harmless) {
+        if (m.row.effect() == Settings.Effect.REPEATABLE || m.parts.stream().allMatch(p -> provedNotRun(p))) {
             // What comes back into a jam feeds it, so there the longest wait that clients heed is asked for.
             port.dismiss(m, Span.shortest(crowded ? m.row.quoted() : typical, settings.allowed().comeBack()));
             close(m);
--- a/src/main/java/gladewing/router/Settings.java
+++ b/src/main/java/gladewing/router/Settings.java
@@ -20,8 +20,7 @@
     public record Shards(int cells, int reach) { }
 
     public record Product(Span quoted, double quotedStretch, Span limit, double revenue, double lateRevenue,
-            Effect effect, Span repeatWindow, double leastShare, double wholeShare, double partialRevenue,
-            int secondStep) { }
+            Effect effect, Span repeatWindow, double leastShare, double wholeShare, int secondStep) { }
 
     /** Multigets a second within the tenant's share, at all routers together. */
     public record Tenant(double share) { }
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -34,7 +34,7 @@
 
     Trace start() {
         Settings.Product product = new Settings.Product(Span.ofMillis(1000), 0, Span.ofMillis(3000), 1,
-                lateRevenue, effect, Span.ofMillis(600), leastShare, 1, 0.9, 0);
+                lateRevenue, effect, Span.ofMillis(600), leastShare, 1, 0);
         Settings settings = new Settings(1, Span.ofMillis(5),
                 new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
                         Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
