--- a/src/main/java/gladewing/benchlink/BenchLink.java
+++ b/src/main/java/gladewing/benchlink/BenchLink.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import gladewing.json.Fields;
+import gladewing.json.Unusable;
 import gladewing.router.Time;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +31,7 @@
     private final PrintStream complaints;
     private final Map<String, Instance> instances = new HashMap<>();
     private final Set<Instance> inTurn = new LinkedHashSet<>();
-    private final List<List<Message>> lists = new ArrayList<>(Collections.nCopies(LISTS, null));
+    private final List<List<Fields>> lists = new ArrayList<>(Collections.nCopies(LISTS, null));
     private Time now;
 
     public BenchLink(InputStream in, OutputStream out, PrintStream complaints) throws IOException {
@@ -43,12 +46,12 @@
         try {
             for (JsonToken token = in.nextToken(); token != null; token = in.nextToken()) {
                 if (token != JsonToken.START_OBJECT) {
-                    throw new BadMessage("not a JSON object");
+                    throw new Unusable("not a JSON object");
                 }
-                handle(Message.read(in));
+                handle(message());
             }
             return 0;
-        } catch (BadMessage bad) {
+        } catch (Unusable bad) {
             complain(bad.getMessage());
         } catch (JsonProcessingException bad) {
             complain("not a JSON message: " + bad.getOriginalMessage().replaceFirst(" \\(start marker.*", ""));
@@ -56,11 +59,53 @@
         return 1;
     }
 
+    private Fields message() throws IOException {
+        Map<String, Object> fields = object();
+        if (fields.get("m") instanceof String name) {
+            return Fields.of(name, fields);
+        }
+        throw new Unusable("message without a name: field m is missing or not a text");
+    }
+
+    private Map<String, Object> object() throws IOException {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String field = in.currentName();
+            in.nextToken();
+            fields.put(field, anyValue());
+        }
+        return fields;
+    }
+
+    private Object anyValue() throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT:
+                return object();
+            case START_ARRAY:
+                List<Object> all = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    all.add(anyValue());
+                }
+                return all;
+            case VALUE_STRING:
+                return in.getText();
+            case VALUE_NUMBER_INT:
+            case VALUE_NUMBER_FLOAT:
+                return in.getNumberValue();
+            case VALUE_TRUE:
+                return Boolean.TRUE;
+            case VALUE_FALSE:
+                return Boolean.FALSE;
+            default:
+                return null;
+        }
+    }
+
     private void complain(String text) {
         complaints.println("benchlink: line " + in.currentLocation().getLineNr() + ": " + text);
     }
 
-    private void handle(Message message) throws IOException {
+    private void handle(Fields message) throws IOException {
         switch (message.name()) {
             case "BATCH" -> now = Time.ofMillis(message.number("Time"));
             case "EOF_BATCH" -> reply(message);
@@ -83,7 +128,7 @@
                 if (scope == Instance.LIST_FAILED) {
                     instance.listFailed();
                 } else {
-                    List<Message> entries = lists.get(message.index("Slot", LISTS));
+                    List<Fields> entries = lists.get(message.index("Slot", LISTS));
                     if (entries == null) {
                         throw message.wrong("Slot", "a list that was given");
                     }
@@ -96,17 +141,17 @@
             case "DEADLINE_HIT" -> instance(message).wake(message);
             case "SAMPLED" -> instance(message).probed(message);
             case "FLOWING", "PEER" -> instance(message);
-            default -> throw new BadMessage(message.name() + ": unknown event");
+            default -> throw new Unusable(message.name() + ": unknown event");
         }
     }
 
-    private void inBatch(Message message) {
+    private void inBatch(Fields message) {
         if (now == null) {
-            throw new BadMessage(message.name() + ": outside a batch");
+            throw new Unusable(message.name() + ": outside a batch");
         }
     }
 
-    private Instance instance(Message message) {
+    private Instance instance(Fields message) {
         inBatch(message);
         Instance instance = instances.get(message.text("I"));
         if (instance == null) {
@@ -125,7 +170,7 @@
         }
     }
 
-    private void reply(Message message) throws IOException {
+    private void reply(Fields message) throws IOException {
         inBatch(message);
         for (Instance instance : inTurn) {
             instance.endTurn();
--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -1,6 +1,9 @@
 package gladewing.benchlink;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import gladewing.config.Facts;
+import gladewing.decisions.NodeTable;
+import gladewing.json.Fields;
 import gladewing.router.Load;
 import gladewing.router.Multiget;
 import gladewing.router.Outcome;
@@ -21,8 +24,8 @@
     static final int LIST_FAILED = 3;
     private static final Outcome[] OUTCOMES = {null, Outcome.OK, Outcome.ERROR, Outcome.FULL,
         Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.RESET, Outcome.WITHDRAWN, Outcome.NOT_SENT};
-    private static final int GONE = 0;
-    private static final int DRAINING = 2;
+    private static final NodeTable.State[] STATES = {NodeTable.State.GONE, NodeTable.State.UP,
+        NodeTable.State.DRAINING};
 
     /** What is known of a multiget's wire ids, until it has ended and nothing of it is out. */
     private static final class Held {
@@ -43,16 +46,6 @@
 
     private record Place(Held held, int part) { }
 
-    private static final class Listed {
-        final long id;
-        int out;
-        boolean gone;
-
-        Listed(long id) {
-            this.id = id;
-        }
-    }
-
     private final String name;
     private final JsonGenerator json;
     private final int products;
@@ -63,10 +56,9 @@
     private final Map<Long, Place> places = new HashMap<>();
     private final Map<Long, Held> byNumber = new HashMap<>();
     private final List<Held> refs = new ArrayList<>();
-    private final Map<Long, Integer> nodeIndex = new HashMap<>();
-    private final List<Listed> nodes = new ArrayList<>();
+    private final NodeTable<Long> nodes;
 
-    Instance(String name, JsonGenerator json, long seed, Message facts, Time now) {
+    Instance(String name, JsonGenerator json, long seed, Fields facts, Time now) {
         this.name = name;
         this.json = json;
         Settings settings = Facts.settings(facts);
@@ -75,6 +67,7 @@
         this.shards = (int) facts.object("Specifics").whole("Ranges");
         this.cells = settings.shards().cells();
         this.router = new QueryRouter(settings, seed, this, now);
+        this.nodes = new NodeTable<>(router);
     }
 
     void turn(Time now) {
@@ -90,69 +83,26 @@
     }
 
     /** Scope 0 holds changes only; in any other list, a node that is absent is gone. */
-    void list(int scope, List<Message> entries) {
-        boolean[] seen = new boolean[nodes.size() + entries.size()];
-        for (Message entry : entries) {
-            long id = entry.whole("Node");
-            int state = entry.index("Mode", 3);
-            Integer known = nodeIndex.get(id);
-            if (known == null && state == GONE) {
-                continue;
-            }
-            int index = known != null ? known : newNode(id);
-            seen[index] = true;
-            nodes.get(index).gone = state == GONE;
-            if (state == GONE) {
-                router.nodeGone(index);
-            } else {
-                double started = entry.number("StartedAt", 0);
-                router.nodeListed(index, entry.index("Position", cells),
-                        started > 0 ? Time.ofMillis(started) : null, state == DRAINING);
-            }
-        }
-        for (int i = 0; i < nodes.size(); i++) {
-            Listed node = nodes.get(i);
-            if (node != null && scope != 0 && !seen[i] && !node.gone) {
-                node.gone = true;
-                router.nodeGone(i);
-            }
-            letGoOfNode(i);
-        }
-        router.listCame();
-    }
-
-    private static int freeIndex(List<?> table) {
-        int index = table.indexOf(null);
-        if (index < 0) {
-            index = table.size();
-            table.add(null);
-        }
-        return index;
-    }
-
-    private int newNode(long id) {
-        int index = freeIndex(nodes);
-        nodes.set(index, new Listed(id));
-        nodeIndex.put(id, index);
-        return index;
-    }
-
-    private void letGoOfNode(int index) {
-        Listed node = nodes.get(index);
-        if (node != null && node.gone && node.out == 0) {
-            nodeIndex.remove(node.id);
-            nodes.set(index, null);
+    void list(int scope, List<Fields> entries) {
+        List<NodeTable.Line<Long>> lines = new ArrayList<>();
+        for (Fields entry : entries) {
+            double started = entry.number("StartedAt", 0);
+            NodeTable.State state = STATES[entry.index("Mode", STATES.length)];
+            lines.add(new NodeTable.Line<>(entry.whole("Node"),
+                    state == NodeTable.State.GONE ? 0 : entry.index("Position", cells),
+                    started > 0 ? Time.ofMillis(started) : null, state));
         }
+        nodes.list(scope != 0, lines);
     }
 
-    void request(Message message) {
+    void request(Fields message) {
         long id = message.whole("Tid");
         long number = message.whole("WholeNo");
         long shard = message.whole("Slab");
         double heft = message.number("Heft");
         double hint = message.number("WeightHint", 0);
         if (shard < 0) {
-            int ref = freeIndex(refs);
+            int ref = NodeTable.freeIndex(refs);
             Held held = new Held(id, number, ref);
             refs.set(ref, held);
             byNumber.put(number, held);
@@ -174,7 +124,7 @@
         }
     }
 
-    void finished(Message message) {
+    void finished(Fields message) {
         Place place = places.get(message.whole("Tid"));
         int code = message.index("Code", OUTCOMES.length);
         int hop = (int) message.whole("Hop");
@@ -184,7 +134,7 @@
         if (OUTCOMES[code] == null) {
             throw message.wrong("Code", "an outcome");
         }
-        Integer node = nodeIndex.get(message.whole("Node"));
+        Integer node = nodes.index(message.whole("Node"));
         if (hop < 0 || hop >= place.held.multiget.transmissions(place.part)) {
             throw message.wrong("Hop", "a transmission that was sent");
         }
@@ -192,13 +142,12 @@
         place.held.multiget.outcome(place.part, hop, OUTCOMES[code],
                 Span.ofMillis(message.number("Duration")), load(message));
         if (node != null) {
-            nodes.get(node).out--;
-            letGoOfNode(node);
+            nodes.back(node);
         }
         letGo(place.held);
     }
 
-    void clientLeft(Message message) {
+    void clientLeft(Fields message) {
         Place place = places.get(message.whole("Tid"));
         if (place == null || place.part >= 0 || place.held.ended) {
             return;
@@ -208,26 +157,25 @@
         letGo(place.held);
     }
 
-    void wake(Message message) {
+    void wake(Fields message) {
         message.whole("Label");
         router.wake();
     }
 
-    void probed(Message message) {
-        Integer node = nodeIndex.get(message.whole("Node"));
+    void probed(Fields message) {
+        Integer node = nodes.index(message.whole("Node"));
         Outcome outcome = OUTCOMES[message.index("Code", OUTCOMES.length)];
         if (node != null) {
-            nodes.get(node).out--;
             router.probed(node, outcome, load(message));
-            letGoOfNode(node);
+            nodes.back(node);
         }
     }
 
-    private static Load load(Message message) {
+    private static Load load(Fields message) {
         if (!message.has("Stats")) {
             return null;
         }
-        Message told = message.object("Stats");
+        Fields told = message.object("Stats");
         return new Load(told.number("pending", Double.NaN), told.number("busy_reqs", Double.NaN),
                 told.number("svc_ms", Double.NaN), told.number("served_ps", Double.NaN),
                 told.number("cpu_share", Double.NaN));
@@ -251,11 +199,10 @@
     public void transmit(Multiget multiget, int part, int node, Span timeOut) {
         Held held = refs.get(multiget.ref);
         held.out++;
-        nodes.get(node).out++;
         open("PASS_ON");
         number("Tid", held.parts.get(part));
         millis("AllowFor", timeOut);
-        number("Node", nodes.get(node).id);
+        number("Node", nodes.out(node));
         close();
     }
 
@@ -302,9 +249,8 @@
 
     @Override
     public void probe(int node) {
-        nodes.get(node).out++;
         open("POLL");
-        number("Node", nodes.get(node).id);
+        number("Node", nodes.out(node));
         close();
     }
 
--- /dev/null
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -0,0 +1,138 @@
+package gladewing.clients;
+
+import gladewing.buffer.ConnectionBuffer;
+import gladewing.http.MessageReader;
+import gladewing.router.Time;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** One client's connection: a request at a time, and nothing more is read of it until that is answered. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
+
+    private final Clients clients;
+    private final ConnectionBuffer in = new ConnectionBuffer(MessageReader.MOST_BYTES);
+    private final MessageReader message = new MessageReader();
+    private Channel channel;
+    private Exchange open;
+    private boolean keep = true;
+    private boolean over;
+    Time usedAt;
+
+    ClientConnection(Clients clients) {
+        this.clients = clients;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        usedAt = clients.loop.pass();
+        clients.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object read) {
+        usedAt = clients.loop.pass();
+        ByteBuf bytes = (ByteBuf) read;
+        try {
+            // Once it is to be closed, what still comes is not taken.
+            if (!over && !in.take(bytes)) {
+                fail("more bytes at once than any request has");
+            }
+        } finally {
+            bytes.release();
+        }
+        next();
+    }
+
+    private void next() {
+        while (open == null && !over) {
+            MessageReader.Progress progress = message.read(in);
+            if (progress == MessageReader.Progress.MORE) {
+                break;
+            }
+            keep = progress == MessageReader.Progress.MESSAGE && message.keepsAlive();
+            int status = message.status();
+            if (progress == MessageReader.Progress.MESSAGE) {
+                status = clients.reader.read(message);
+            }
+            if (status == 0) {
+                open = clients.reader.exchange(this);
+                clients.asks.asked(open);
+            } else if (status == RequestReader.READY) {
+                answer(clients.ready() ? status : Responses.UNAVAILABLE, "", "");
+            } else {
+                keep = false;
+                answer(status, "", "");
+            }
+            message.next();
+        }
+        // What a client sends far ahead waits in its socket; a close must be seen while a request is open.
+        channel.config().setAutoRead(in.size() < MessageReader.MOST_BYTES / 2);
+    }
+
+    /** The one response to the request that was read last; headers end in CRLF each. */
+    void answer(int status, String headers, String body) {
+        boolean wasOpen = open != null;
+        open = null;
+        if (over) {
+            return;
+        }
+        keep &= !clients.closing();
+        over = !keep;
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        ByteBuf out = channel.alloc().buffer(256 + bytes.length);
+        out.writeCharSequence(Responses.head(status, headers, bytes.length, keep), StandardCharsets.ISO_8859_1);
+        ChannelFuture written = channel.write(out.writeBytes(bytes));
+        clients.loop.flushLater(channel);
+        if (over) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else if (wasOpen) {
+            // What came after the request, if anything, is read in a pass of its own.
+            clients.loop.later(this::next);
+        }
+    }
+
+    boolean idle() {
+        return open == null && !message.within() && in.size() == 0;
+    }
+
+    void close() {
+        over = true;
+        channel.close();
+    }
+
+    private void fail(String why) {
+        LOG.warning("connection to a client closed: " + why);
+        close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        clients.loop.pass();
+        over = true;
+        clients.closed(this);
+        if (open != null) {
+            Exchange left = open;
+            open = null;
+            clients.asks.left(left);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A client that resets its connection has left; any other is a fault here, which stops here.
+        if (!(cause instanceof IOException)) {
+            LOG.log(Level.SEVERE, "connection to a client closed", cause);
+        }
+        context.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -0,0 +1,100 @@
+package gladewing.clients;
+
+import gladewing.loop.Loop;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.logging.Logger;
+
+/** Listens for clients, and keeps their connections within their share of the descriptors. */
+public final class Clients {
+    private static final Logger LOG = Logger.getLogger(Clients.class.getName());
+
+    final Loop loop;
+    final Asks asks;
+    final RequestReader reader;
+    private final int most;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean ready;
+    private boolean closing;
+    private boolean limitTold;
+
+    public Clients(Loop loop, Site site, int most, Asks asks) {
+        this.loop = loop;
+        this.most = most;
+        this.asks = asks;
+        this.reader = new RequestReader(site);
+    }
+
+    public ChannelFuture listen(ServerBootstrap bootstrap, InetSocketAddress address) {
+        ChannelFuture bound = bootstrap.childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new ClientConnection(Clients.this));
+            }
+        }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    public void setReady(boolean now) {
+        ready = now;
+    }
+
+    boolean ready() {
+        return ready;
+    }
+
+    /** From now on each connection is closed after the answer to what it has asked. */
+    public void closeAfterAnswers() {
+        closing = true;
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    /** Accepts no more, and closes those that have nothing open. */
+    public void stopAccepting() {
+        listener.close();
+        new ArrayList<>(connections).stream().filter(ClientConnection::idle).forEach(ClientConnection::close);
+    }
+
+    public boolean empty() {
+        return connections.isEmpty();
+    }
+
+    /** At the limit an idle connection gives way; where none is, no more are accepted until one ends. */
+    void opened(ClientConnection connection) {
+        connections.add(connection);
+        if (connections.size() < most) {
+            return;
+        }
+        ClientConnection idlest = null;
+        for (ClientConnection c : connections) {
+            if (c != connection && c.idle() && (idlest == null || c.usedAt.before(idlest.usedAt))) {
+                idlest = c;
+            }
+        }
+        if (!limitTold) {
+            LOG.warning("all " + most + " connections to clients are in use");
+            limitTold = true;
+        }
+        if (idlest != null) {
+            idlest.close();
+        } else {
+            listener.config().setAutoRead(false);
+        }
+    }
+
+    void closed(ClientConnection connection) {
+        connections.remove(connection);
+        listener.config().setAutoRead(true);
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/clients/Exchange.java
@@ -0,0 +1,48 @@
+package gladewing.clients;
+
+import gladewing.decisions.Taken;
+import gladewing.json.Json;
+import gladewing.router.Span;
+import java.util.List;
+
+/** A multiget of a client: its final answer becomes the response on the client's connection. */
+final class Exchange extends Taken {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int TIMED_OUT = 504;
+
+    private final ClientConnection from;
+
+    Exchange(ClientConnection from, String id, int product, Span left, boolean again, List<Part> parts,
+            byte[] text) {
+        super(id, product, left, again, parts, text);
+        this.from = from;
+    }
+
+    @Override
+    public void finished(boolean whole) {
+        StringBuilder body = new StringBuilder(64 + 48 * parts.size());
+        body.append("{\"complete\":").append(whole).append(",\"hits\":[");
+        String comma = "";
+        for (int i = 0; i < parts.size(); i++) {
+            if (value(i) != null) {
+                body.append(comma).append("{\"shard\":").append(parts.get(i).shard()).append(",\"doc\":");
+                Json.quote(body, value(i));
+                body.append('}');
+                comma = ",";
+            }
+        }
+        from.answer(OK, "", body.append("]}").toString());
+    }
+
+    @Override
+    public void dismissed(Span comeBack) {
+        from.answer(UNAVAILABLE, comeBack.micros() > 0
+                ? "Retry-After: " + comeBack.millis() / 1000 + "\r\n" : "", "");
+    }
+
+    @Override
+    public void givenUp() {
+        from.answer(TIMED_OUT, "", "");
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/clients/Responses.java
@@ -0,0 +1,36 @@
+package gladewing.clients;
+
+/** The heads of responses. */
+final class Responses {
+    static final int UNAVAILABLE = 503;
+
+    private Responses() { }
+
+    static String head(int status, String headers, int length, boolean keep) {
+        return "HTTP/1.1 " + status + ' ' + reason(status) + "\r\n"
+                + (length > 0 ? "Content-Type: application/json\r\n" : "")
+                + "Content-Length: " + length + "\r\n" + headers
+                + (keep ? "" : "Connection: close\r\n") + "\r\n";
+    }
+
+    private static String reason(int status) {
+        switch (status) {
+            case 200:
+                return "OK";
+            case 400:
+                return "Bad Request";
+            case 404:
+                return "Not Found";
+            case 405:
+                return "Method Not Allowed";
+            case 413:
+                return "Content Too Large";
+            case 431:
+                return "Request Header Fields Too Large";
+            case 503:
+                return "Service Unavailable";
+            default:
+                return "Gateway Timeout";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/config/Config.java
@@ -0,0 +1,62 @@
+package gladewing.config;
+
+import gladewing.json.Fields;
+import gladewing.json.Json;
+import gladewing.json.Unusable;
+import gladewing.router.Settings;
+import gladewing.router.Span;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** All that one real router is told at its start. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Fields known, Settings settings, List<String> products, int shards, Connections connections) {
+
+    /** What the settings say of connections to data nodes. */
+    public record Connections(int partsPerConnection, int partsPerCall, Span connectTimeOut, Span idle,
+            boolean loadProbes) { }
+
+    public static Config read(String path) {
+        try {
+            return read(Json.fields("config", Files.readAllBytes(Path.of(path))));
+        } catch (IOException | InvalidPathException bad) {
+            throw new Unusable("config " + path + " can't be read: " + bad.getMessage());
+        }
+    }
+
+    private static Config read(Fields config) {
+        Fields facts = config.object("settings");
+        Fields allowed = facts.object("Permissions");
+        Fields shards = facts.object("Specifics");
+        List<String> products = new ArrayList<>();
+        for (Fields row : facts.objects("RequestClasses")) {
+            products.add(row.text("Name"));
+        }
+        Settings settings = Facts.settings(facts);
+        for (Settings.Product product : settings.products()) {
+            if (product.secondStep() > 0) {
+                throw new Unusable("config: the protocol on sockets has no second step");
+            }
+        }
+        Connections connections = new Connections((int) allowed.whole("MaxStreams"),
+                (int) shards.whole("PerCall", 1), Span.ofMillis(allowed.number("ConnectTimeout")),
+                Span.ofMillis(allowed.number("ConnIdle")), !facts.object("Report").text("How").equals("none"));
+        return new Config(config.text("name"), Endpoint.read(config.text("listen")),
+                Endpoint.read(config.text("discovery")), seed(config.text("seed")),
+                (int) config.object("limits").whole("sockets"), config.object("known"), settings,
+                List.copyOf(products), (int) shards.whole("Ranges"), connections);
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException notHex) {
+            throw new Unusable("config: field seed is not a hexadecimal number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/config/Endpoint.java
@@ -0,0 +1,26 @@
+package gladewing.config;
+
+import gladewing.json.Unusable;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses as text, ADDRESS:PORT; names are not looked up, as there is no DNS. */
+public final class Endpoint {
+    private Endpoint() { }
+
+    public static InetSocketAddress read(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] address = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (address != null && port >= 0 && port < 65536) {
+                return new InetSocketAddress(InetAddress.getByAddress(address), port);
+            }
+        } catch (NumberFormatException | UnknownHostException notOne) {
+            // Told below, like any other text that is no endpoint.
+        }
+        throw new Unusable("not an endpoint: " + text);
+    }
+}
--- a/src/main/java/gladewing/benchlink/Facts.java
+++ b/src/main/java/gladewing/config/Facts.java
@@ -1,19 +1,20 @@
-package gladewing.benchlink;
+package gladewing.config;
 
+import gladewing.json.Fields;
 import gladewing.router.Settings;
 import gladewing.router.Span;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads the settings that an instance is given at its start. */
-final class Facts {
+/** Reads the settings that a router is given at its start, on the bench and in its configuration alike. */
+public final class Facts {
     private Facts() { }
 
-    static Settings settings(Message facts) {
-        Message rules = facts.object("Rules");
-        Message allowed = facts.object("Permissions");
-        Message shards = facts.object("Specifics");
-        Message prices = facts.object("Prices");
+    public static Settings settings(Fields facts) {
+        Fields rules = facts.object("Rules");
+        Fields allowed = facts.object("Permissions");
+        Fields shards = facts.object("Specifics");
+        Fields prices = facts.object("Prices");
         boolean asked = facts.text("Discovery").equals("subscribe");
         return new Settings(
                 (int) facts.whole("NInstances"),
@@ -37,9 +38,9 @@
                 prices.number("LateFail", 0));
     }
 
-    private static List<Settings.Product> products(Message facts, Message shards) {
+    private static List<Settings.Product> products(Fields facts, Fields shards) {
         List<Settings.Product> products = new ArrayList<>();
-        for (Message row : facts.objects("RequestClasses")) {
+        for (Fields row : facts.objects("RequestClasses")) {
             int at = products.size();
             products.add(new Settings.Product(
                     span(row, "Objective"), row.number("AimStretch", 0), span(row, "GiveUp"),
@@ -51,7 +52,7 @@
         return products;
     }
 
-    private static Settings.Effect effect(Message row) {
+    private static Settings.Effect effect(Fields row) {
         return switch (row.text("Semantics")) {
             case "read_like" -> Settings.Effect.REPEATABLE;
             case "idempotency_key" -> Settings.Effect.TAGGED;
@@ -60,17 +61,17 @@
         };
     }
 
-    private static List<Settings.Tenant> tenants(Message facts) {
+    private static List<Settings.Tenant> tenants(Fields facts) {
         List<Settings.Tenant> tenants = new ArrayList<>();
         if (facts.has("Tenants")) {
-            for (Message row : facts.objects("Tenants")) {
+            for (Fields row : facts.objects("Tenants")) {
                 tenants.add(new Settings.Tenant(row.number("QuotaRps", 0)));
             }
         }
         return tenants;
     }
 
-    private static Span span(Message message, String field) {
+    private static Span span(Fields message, String field) {
         return Span.ofMillis(message.number(field));
     }
 }
--- /dev/null
+++ b/src/main/java/gladewing/decisions/Taken.java
@@ -0,0 +1,57 @@
+package gladewing.decisions;
+
+import gladewing.router.Multiget;
+import gladewing.router.Span;
+import java.util.List;
+
+/**
+ * The handle of a multiget that was taken: what its client asked, and the values that are in. Whoever took
+ * it says here how its client is answered.
+ */
+public abstract class Taken {
+    /** One part: the weight is its share of the whole answer, the guess of its work is zero where none is. */
+    public record Part(int shard, double weight, Span work) { }
+
+    public final String id;
+    public final int product;
+    public final Span left;
+    public final boolean again;
+    public final List<Part> parts;
+    /** What each transmission of a part must carry, unchanged. */
+    public final byte[] text;
+    private final String[] values;
+    int ref;
+    Multiget multiget;
+    boolean ended;
+    int out;
+
+    protected Taken(String id, int product, Span left, boolean again, List<Part> parts, byte[] text) {
+        this.id = id;
+        this.product = product;
+        this.left = left;
+        this.again = again;
+        this.parts = parts;
+        this.text = text;
+        this.values = new String[parts.size()];
+    }
+
+    /** The value of a part as its data node gave it, or null while it is not in. */
+    public final String value(int part) {
+        return values[part];
+    }
+
+    final void in(int part, String value) {
+        if (!ended && values[part] == null) {
+            values[part] = value;
+        }
+    }
+
+    /** Final: answered with the values that are in. */
+    public abstract void finished(boolean whole);
+
+    /** Final: asking again is harmless; comeBack is zero where nothing is said of when. */
+    public abstract void dismissed(Span comeBack);
+
+    /** Final: nothing is said of what was done. */
+    public abstract void givenUp();
+}
--- /dev/null
+++ b/src/main/java/gladewing/frames/LoadReport.java
@@ -0,0 +1,39 @@
+package gladewing.frames;
+
+import gladewing.router.Load;
+
+/** A report of load on the wire: names and numbers, parted by commas, or a dash where there is none. */
+public final class LoadReport {
+    private static final String[] NAMES = {"queue", "inflight", "latency_ms", "qps", "util"};
+
+    private LoadReport() { }
+
+    /** Null for no report and for one that can't be used: it counts as none. Unknown names are passed over. */
+    public static Load read(String report) {
+        double[] values = new double[NAMES.length];
+        java.util.Arrays.fill(values, Double.NaN);
+        boolean any = false;
+        for (String field : report.split(",")) {
+            int equals = field.indexOf('=');
+            for (int i = 0; equals > 0 && i < NAMES.length; i++) {
+                if (field.substring(0, equals).equals(NAMES[i])) {
+                    values[i] = number(field.substring(equals + 1));
+                    any = true;
+                    if (Double.isNaN(values[i])) {
+                        return null;
+                    }
+                }
+            }
+        }
+        return any ? new Load(values[0], values[1], values[2], values[3], values[4]) : null;
+    }
+
+    private static double number(String text) {
+        try {
+            double value = Double.parseDouble(text);
+            return value >= 0 && value < Double.POSITIVE_INFINITY ? value : Double.NaN;
+        } catch (NumberFormatException notOne) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -0,0 +1,226 @@
+package gladewing.nodes;
+
+import gladewing.buffer.ConnectionBuffer;
+import gladewing.frames.Answer;
+import gladewing.frames.FrameReader;
+import gladewing.frames.Frames;
+import gladewing.router.Time;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+
+/** One connection to a data node: what is out on it, what waits for it, and the frames that come back. */
+final class Connection extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = Logger.getLogger(Connection.class.getName());
+
+    private final Nodes nodes;
+    final InetSocketAddress address;
+    private final ConnectionBuffer in = new ConnectionBuffer(FrameReader.LONGEST + 64 * 1024);
+    private final FrameReader frames = new FrameReader();
+    /** By part id: all whose end the node still owes, also those that nobody waits for any more. */
+    private final Map<String, Flight> out = new LinkedHashMap<>();
+    private final Deque<Probe> probes = new ArrayDeque<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private Channel channel;
+    private boolean up;
+    private boolean over;
+    private int live;
+    Time usedAt;
+
+    Connection(Nodes nodes, InetSocketAddress address) {
+        this.nodes = nodes;
+        this.address = address;
+        this.usedAt = nodes.loop.pass();
+    }
+
+    void opened(Channel opening) {
+        channel = opening;
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    /** Nothing is waited for on it. */
+    boolean idle() {
+        return live == 0 && probes.stream().allMatch(p -> p.over);
+    }
+
+    int load() {
+        return out.size() + probes.size();
+    }
+
+    /** Whether these can be told apart from all that is out here, find a place, and would be read soon. */
+    boolean hasRoom(List<Flight> call, int most) {
+        return !over && (!up || channel.isWritable()) && load() + call.size() <= most
+                && call.stream().noneMatch(f -> out.containsKey(f.id));
+    }
+
+    void send(List<Flight> call) {
+        for (Flight flight : call) {
+            flight.on = this;
+            out.put(flight.id, flight);
+            live++;
+        }
+        whenUp(() -> writeCall(call));
+    }
+
+    void send(Probe probe, char letter) {
+        probes.add(probe);
+        whenUp(() -> probe.frame = write(Frames.probe(channel.alloc(), letter)));
+    }
+
+    private void whenUp(Runnable write) {
+        if (up) {
+            write.run();
+        } else {
+            waiting.add(write);
+        }
+    }
+
+    /** Parts whose end is known by now, as they waited for the connection too long, are left out. */
+    private void writeCall(List<Flight> call) {
+        List<Frames.CallPart> parts = new ArrayList<>();
+        call.stream().filter(f -> !f.over).forEach(f -> parts.add(f.callPart()));
+        if (!parts.isEmpty()) {
+            ChannelFuture written = write(Frames.call(channel.alloc(), parts));
+            call.stream().filter(f -> !f.over).forEach(f -> f.frame = written);
+        }
+    }
+
+    private ChannelFuture write(ByteBuf frame) {
+        usedAt = nodes.loop.pass();
+        nodes.loop.flushLater(channel);
+        return channel.write(frame);
+    }
+
+    /** Nobody waits for it any more: the node is told, where anything was sent and that is allowed. */
+    void drop(Flight flight, boolean tell) {
+        live--;
+        if (flight.frame == null) {
+            out.remove(flight.id, flight);
+        } else if (tell) {
+            write(Frames.giveUp(channel.alloc(), flight.id));
+        }
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        nodes.loop.pass();
+        up = true;
+        waiting.forEach(Runnable::run);
+        waiting.clear();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        usedAt = nodes.loop.pass();
+        ByteBuf bytes = (ByteBuf) message;
+        try {
+            if (over || !in.take(bytes)) {
+                broken("more bytes than the longest frame has");
+                return;
+            }
+        } finally {
+            bytes.release();
+        }
+        FrameReader.Progress progress = frames.read(in);
+        while (progress == FrameReader.Progress.FRAME && !over) {
+            String wrong = frame(frames.letter());
+            if (wrong != null) {
+                broken(wrong);
+                return;
+            }
+            progress = frames.read(in);
+        }
+        if (progress == FrameReader.Progress.UNUSABLE) {
+            broken("a frame of an impossible length");
+        }
+    }
+
+    /** What is wrong with the frame, or null. */
+    private String frame(char letter) {
+        switch (letter) {
+            case Frames.ANSWER:
+                Answer answer = Answer.read(frames.rest());
+                if (answer == null) {
+                    return "an answer that can't be read";
+                }
+                Flight flight = out.remove(answer.id());
+                if (flight != null && !flight.over) {
+                    live--;
+                    nodes.answered(flight, answer);
+                }
+                return null;
+            case Frames.PROBE, Frames.LOAD_PROBE:
+                Probe probe = probes.poll();
+                if (probe == null) {
+                    return "an answer to no probe";
+                }
+                nodes.probed(probe, frames.text().strip());
+                return null;
+            case Frames.ERROR:
+                return "the node says: " + frames.text();
+            default:
+                return "a frame of unknown letter " + (int) letter;
+        }
+    }
+
+    private void broken(String why) {
+        if (!over) {
+            LOG.warning("connection to data node " + address + " closed: " + why);
+            close();
+            lost();
+        }
+    }
+
+    /** Each that is out on it ends by how far it had come. */
+    void lost() {
+        if (over) {
+            return;
+        }
+        over = true;
+        nodes.loop.pass();
+        nodes.remove(this);
+        new ArrayList<>(out.values()).forEach(nodes::lost);
+        probes.forEach(nodes::lost);
+        out.clear();
+        probes.clear();
+        waiting.clear();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        lost();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A reset by the other side is no news to the log; any other is a fault here, which stops here.
+        if (!(cause instanceof java.io.IOException)) {
+            LOG.log(java.util.logging.Level.SEVERE, "connection to data node " + address + " closed", cause);
+        }
+        close();
+        lost();
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/nodes/Flight.java
@@ -0,0 +1,37 @@
+package gladewing.nodes;
+
+import gladewing.decisions.End;
+import gladewing.decisions.Transmission;
+import gladewing.frames.Frames;
+import gladewing.loop.Timer;
+import gladewing.router.Time;
+import io.netty.channel.ChannelFuture;
+
+/** One transmission on its way, from being handed to a connection until its end is known there. */
+final class Flight {
+    final Transmission transmission;
+    final String id;
+    final Time sentAt;
+    Connection on;
+    Timer timeOut;
+    /** The write of its frame; null while that waits for the connection. */
+    ChannelFuture frame;
+    /** Its end was reported; what may still come for it is dropped. */
+    boolean over;
+
+    Flight(Transmission transmission, Time sentAt) {
+        this.transmission = transmission;
+        this.id = transmission.of.id + "." + transmission.of.parts.get(transmission.part).shard();
+        this.sentAt = sentAt;
+    }
+
+    /** How far it had come, when its connection has broken. */
+    End broken() {
+        return frame != null && frame.isSuccess() ? End.BROKEN : End.NOT_WRITTEN;
+    }
+
+    Frames.CallPart callPart() {
+        return new Frames.CallPart(id, transmission.of.parts.get(transmission.part).shard(),
+                Math.max(1, (long) transmission.timeOut.millis()), transmission.of.text);
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -0,0 +1,228 @@
+package gladewing.nodes;
+
+import gladewing.decisions.End;
+import gladewing.decisions.Transmission;
+import gladewing.frames.Answer;
+import gladewing.frames.Frames;
+import gladewing.frames.LoadReport;
+import gladewing.loop.Loop;
+import gladewing.router.Load;
+import gladewing.router.Span;
+import gladewing.router.Time;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+
+/** Carries transmissions and probes to data nodes, keeps their time-outs, and tells how each ended. */
+public final class Nodes {
+    private static final Logger LOG = Logger.getLogger(Nodes.class.getName());
+    private static final Span IDLE_CHECK = Span.ofMillis(1000);
+
+    final Loop loop;
+    private final Bootstrap bootstrap;
+    private final NodeLimits limits;
+    private final Reports reports;
+    private final Map<String, Pool> pools = new LinkedHashMap<>();
+    private final Map<Transmission, Flight> flights = new HashMap<>();
+    private int connections;
+    private boolean limitTold;
+
+    public Nodes(Loop loop, Bootstrap bootstrap, NodeLimits limits, Reports reports) {
+        this.loop = loop;
+        this.bootstrap = bootstrap;
+        this.limits = limits;
+        this.reports = reports;
+        loop.after(IDLE_CHECK, this::closeIdle);
+    }
+
+    /** A node's endpoint, when it is told first and whenever it may have changed. */
+    public void listed(String node, InetSocketAddress address) {
+        pools.computeIfAbsent(node, Pool::new).address = address;
+    }
+
+    /** Nothing new goes there; what is out there goes on. */
+    public void gone(String node) {
+        Pool pool = pools.get(node);
+        if (pool != null) {
+            pool.address = null;
+        }
+    }
+
+    public void allGone() {
+        pools.values().forEach(pool -> pool.address = null);
+    }
+
+    /** Parts for one node that are sent together make one call, up to the settings' number. */
+    public void transmit(List<Transmission> together) {
+        Map<String, List<Flight>> calls = new LinkedHashMap<>();
+        Time now = loop.pass();
+        for (Transmission t : together) {
+            Flight flight = new Flight(t, now);
+            flights.put(t, flight);
+            flight.timeOut = loop.after(t.timeOut, () -> end(flight, End.TIMED_OUT, null, null));
+            List<Flight> call = calls.computeIfAbsent(t.node, n -> new ArrayList<>());
+            call.add(flight);
+            if (call.size() == Math.min(limits.partsPerCall(), limits.partsPerConnection())) {
+                calls.remove(t.node);
+                send(t.node, call);
+            }
+        }
+        calls.forEach(this::send);
+    }
+
+    private void send(String node, List<Flight> call) {
+        Connection connection = connection(node, call);
+        if (connection != null) {
+            connection.send(call);
+        } else {
+            loop.later(() -> call.forEach(f -> end(f, End.NOT_WRITTEN, null, null)));
+        }
+    }
+
+    public void probe(String node) {
+        Probe probe = new Probe(node);
+        probe.timeOut = loop.after(limits.connectTimeOut(), () -> end(probe, End.TIMED_OUT, null));
+        Connection connection = connection(node, List.of());
+        if (connection != null) {
+            connection.send(probe, limits.loadProbes() ? Frames.LOAD_PROBE : Frames.PROBE);
+        } else {
+            loop.later(() -> end(probe, End.NOT_WRITTEN, null));
+        }
+    }
+
+    public void withdraw(Transmission t) {
+        Flight flight = flights.get(t);
+        // Told in a pass of its own: the module is in the middle of deciding.
+        if (flight != null) {
+            loop.later(() -> end(flight, flight.frame == null ? End.NOT_SENT : End.WITHDRAWN, null, null));
+        }
+    }
+
+    private Connection connection(String node, List<Flight> call) {
+        Pool pool = pools.get(node);
+        if (pool == null || pool.address == null) {
+            return null;
+        }
+        Connection free = pool.withRoom(call, limits.partsPerConnection());
+        return free != null ? free : open(pool);
+    }
+
+    private Connection open(Pool pool) {
+        if (connections >= limits.connections() && !closeIdlest()) {
+            if (!limitTold) {
+                LOG.warning("all " + limits.connections() + " connections to data nodes are in use");
+                limitTold = true;
+            }
+            return null;
+        }
+        Connection connection = new Connection(this, pool.address);
+        pool.connections.add(connection);
+        connections++;
+        ChannelFuture opening = bootstrap.clone().handler(connection).connect(pool.address);
+        connection.opened(opening.channel());
+        loop.after(limits.connectTimeOut(), () -> {
+            if (!opening.isDone()) {
+                connection.close();
+                connection.lost();
+            }
+        });
+        opening.addListener(done -> {
+            if (!done.isSuccess()) {
+                loop.later(connection::lost);
+            }
+        });
+        return connection;
+    }
+
+    private boolean closeIdlest() {
+        Connection idlest = null;
+        for (Pool pool : pools.values()) {
+            Connection c = pool.idlest();
+            if (c != null && (idlest == null || c.usedAt.before(idlest.usedAt))) {
+                idlest = c;
+            }
+        }
+        if (idlest != null) {
+            idlest.close();
+            idlest.lost();
+        }
+        return idlest != null;
+    }
+
+    /** Before the node would: a part written to a connection that it closes is lost, and may have run. */
+    private void closeIdle() {
+        Time now = loop.pass();
+        Span most = new Span(limits.idle().micros() - IDLE_CHECK.micros() * 2);
+        for (Pool pool : new ArrayList<>(pools.values())) {
+            for (Connection c : new ArrayList<>(pool.connections)) {
+                boolean retired = !c.address.equals(pool.address);
+                if (c.idle() && (retired || now.since(c.usedAt).longerThan(most))) {
+                    c.close();
+                    c.lost();
+                }
+            }
+            if (pool.address == null && pool.connections.isEmpty()) {
+                pools.remove(pool.node);
+            }
+        }
+        loop.after(IDLE_CHECK, this::closeIdle);
+    }
+
+    void remove(Connection connection) {
+        for (Pool pool : pools.values()) {
+            if (pool.connections.remove(connection)) {
+                connections--;
+                return;
+            }
+        }
+    }
+
+    void answered(Flight flight, Answer answer) {
+        End end = answer.end().equals(Answer.OK) ? End.ANSWERED
+                : answer.end().equals(Answer.BUSY) ? End.BUSY : End.ERROR;
+        flight.on = null;
+        end(flight, end, end == End.ANSWERED ? answer.value() : null, answer.load());
+    }
+
+    void lost(Flight flight) {
+        flight.on = null;
+        end(flight, flight.broken(), null, null);
+    }
+
+    void probed(Probe probe, String told) {
+        end(probe, told.equals(Answer.ERROR) ? End.ERROR : End.ANSWERED, LoadReport.read(told));
+    }
+
+    void lost(Probe probe) {
+        end(probe, probe.frame != null && probe.frame.isSuccess() ? End.BROKEN : End.NOT_WRITTEN, null);
+    }
+
+    private void end(Flight flight, End end, String value, Load load) {
+        if (flight.over) {
+            return;
+        }
+        Time now = loop.pass();
+        flight.over = true;
+        flight.timeOut.cancel();
+        flights.remove(flight.transmission);
+        if (flight.on != null) {
+            flight.on.drop(flight, limits.withdrawals());
+        }
+        reports.ended(flight.transmission, end, now.since(flight.sentAt), value, load);
+    }
+
+    private void end(Probe probe, End end, Load load) {
+        if (!probe.over) {
+            loop.pass();
+            probe.over = true;
+            probe.timeOut.cancel();
+            reports.probed(probe.node, end, load);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -0,0 +1,39 @@
+package gladewing.nodes;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The connections to one data node. One that is to an endpoint it has no more only ends what it has. */
+final class Pool {
+    final String node;
+    InetSocketAddress address;
+    final List<Connection> connections = new ArrayList<>();
+
+    Pool(String node) {
+        this.node = node;
+    }
+
+    /** One that is up before one that is coming up, and the least loaded of these; or null. */
+    Connection withRoom(List<Flight> call, int most) {
+        Connection best = null;
+        for (Connection c : connections) {
+            if (c.address.equals(address) && c.hasRoom(call, most)
+                    && (best == null || c.up() && !best.up() || c.up() == best.up() && c.load() < best.load())) {
+                best = c;
+            }
+        }
+        return best;
+    }
+
+    /** The idle connection that has not been used for longest, or null. */
+    Connection idlest() {
+        Connection idlest = null;
+        for (Connection c : connections) {
+            if (c.idle() && (idlest == null || c.usedAt.before(idlest.usedAt))) {
+                idlest = c;
+            }
+        }
+        return idlest;
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/serve/Program.java
@@ -0,0 +1,40 @@
+package gladewing.serve;
+
+import gladewing.config.Config;
+import gladewing.json.Unusable;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
+
+/** The program as a process: its configuration, its one event loop, its log, its end. */
+public final class Program {
+    private Program() { }
+
+    /** Serves until it is told to end; the result is the process's exit code. */
+    public static int run(String configPath, PrintStream complaints) {
+        try {
+            if (configPath == null) {
+                throw new Unusable("RELAY_CONFIG is not set");
+            }
+            Config config = Config.read(configPath);
+            MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            EventLoop thread = group.next();
+            Serve serve = thread.submit(() -> new Serve(thread, config)).get();
+            ChannelFuture listening = thread.submit(serve::start).get();
+            if (!listening.await().isSuccess()) {
+                throw new Unusable("can't listen on " + config.listen() + ": " + listening.cause().getMessage());
+            }
+            group.terminationFuture().await();
+            return 0;
+        } catch (Unusable bad) {
+            complaints.println("serve: " + bad.getMessage());
+        } catch (java.util.concurrent.ExecutionException fault) {
+            complaints.println("serve: " + fault.getCause().getMessage());
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -0,0 +1,171 @@
+package gladewing.serve;
+
+import gladewing.clients.Asks;
+import gladewing.clients.Clients;
+import gladewing.clients.Site;
+import gladewing.config.Config;
+import gladewing.decisions.Decisions;
+import gladewing.decisions.End;
+import gladewing.decisions.NodeTable;
+import gladewing.decisions.Orders;
+import gladewing.decisions.Taken;
+import gladewing.decisions.Transmission;
+import gladewing.discovery.Listing;
+import gladewing.discovery.Told;
+import gladewing.discovery.Watch;
+import gladewing.loop.Loop;
+import gladewing.nodes.NodeLimits;
+import gladewing.nodes.Nodes;
+import gladewing.nodes.Reports;
+import gladewing.router.Load;
+import gladewing.router.Span;
+import gladewing.router.Time;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One real router: wires clients, data nodes and discovery to the decisions, all on one thread. */
+final class Serve implements Loop.Turns, Asks, Reports, Told {
+    /** Descriptors of the program itself: its jar and archive, the selector, the listener, discovery. */
+    private static final int RESERVED = 64;
+    private static final Span PATIENCE_FOR_LIST = Span.ofMillis(1000);
+
+    private final Loop loop;
+    private final EventLoop thread;
+    private final Decisions decisions;
+    private final Clients clients;
+    private final Nodes nodes;
+    private final Watch watch;
+    private final Config config;
+    /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
+    private final long unixOffset;
+
+    Serve(EventLoop thread, Config config) {
+        this.thread = thread;
+        this.config = config;
+        loop = new Loop(thread);
+        unixOffset = System.currentTimeMillis() * 1000 - Loop.clock().micros();
+        decisions = new Decisions(config.settings(), config.seed(), Loop.clock());
+        int shared = Math.max(2, config.sockets() - RESERVED);
+        Bootstrap bootstrap = new Bootstrap().group(thread).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+                .option(ChannelOption.TCP_NODELAY, true);
+        Config.Connections told = config.connections();
+        nodes = new Nodes(loop, bootstrap, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
+                told.connectTimeOut(), told.idle(), shared / 2, config.settings().allowed().withdrawals(),
+                told.loadProbes()), this);
+        clients = new Clients(loop, new Site(config.products(), config.shards()), shared - shared / 2, this);
+        watch = new Watch(loop, bootstrap, config.discovery(), config.settings().shards().cells(), this);
+        loop.start(this);
+    }
+
+    /** On the loop's thread; the result is done once the address is listened on. */
+    ChannelFuture start() {
+        loop.pass();
+        Listing known = Listing.read(config.known(), config.settings().shards().cells());
+        put(known);
+        watch.start();
+        // A silent discovery is no reason to stay away: what was known last is better than nothing.
+        if (!known.targets().isEmpty()) {
+            loop.after(PATIENCE_FOR_LIST, () -> clients.setReady(true));
+        }
+        return clients.listen(new ServerBootstrap().group(thread).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 512)
+                .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .childOption(ChannelOption.TCP_NODELAY, true), config.listen());
+    }
+
+    @Override
+    public void begin(Time now) {
+        decisions.begin(now);
+    }
+
+    @Override
+    public void end() {
+        carryOut(decisions.tick());
+    }
+
+    @Override
+    public void asked(Taken taken) {
+        carryOut(decisions.pick(taken));
+    }
+
+    @Override
+    public void left(Taken taken) {
+        carryOut(decisions.report(taken));
+    }
+
+    @Override
+    public void ended(Transmission transmission, End end, Span took, String value, Load load) {
+        carryOut(decisions.report(transmission, end, took, value, load));
+    }
+
+    @Override
+    public void probed(String node, End end, Load load) {
+        carryOut(decisions.report(node, end, load));
+    }
+
+    @Override
+    public void list(Listing listing) {
+        put(listing);
+        if (!draining) {
+            clients.setReady(true);
+        }
+    }
+
+    @Override
+    public void failed() {
+        carryOut(decisions.reportListFailed());
+    }
+
+    private boolean draining;
+
+    private void put(Listing listing) {
+        List<NodeTable.Line<String>> lines = new ArrayList<>();
+        if (listing.all()) {
+            nodes.allGone();
+        }
+        for (Listing.Target t : listing.targets()) {
+            NodeTable.State state = switch (t.state()) {
+                case UP -> NodeTable.State.UP;
+                case DRAINING -> NodeTable.State.DRAINING;
+                case REMOVED -> NodeTable.State.GONE;
+            };
+            if (state == NodeTable.State.GONE) {
+                nodes.gone(t.uid());
+            } else {
+                nodes.listed(t.uid(), t.endpoint());
+            }
+            Time started = t.started() > 0 ? new Time(t.started() * 1000 - unixOffset) : null;
+            lines.add(new NodeTable.Line<>(t.uid(), t.cell(), started, state));
+        }
+        carryOut(decisions.report(listing.all(), lines));
+    }
+
+    private void carryOut(Orders orders) {
+        for (Orders.Final f : orders.finals) {
+            switch (f.kind()) {
+                case WHOLE, PARTIAL -> f.taken().finished(f.kind() == Orders.Kind.WHOLE);
+                case DISMISSED -> f.taken().dismissed(f.comeBack());
+                default -> f.taken().givenUp();
+            }
+        }
+        orders.withdrawals.forEach(nodes::withdraw);
+        if (!orders.transmissions.isEmpty()) {
+            nodes.transmit(orders.transmissions);
+        }
+        orders.probes.forEach(nodes::probe);
+        if (orders.tickAfter != null) {
+            loop.after(orders.tickAfter, decisions::wake);
+        }
+    }
+}
