Load reports under the settings' names; withdrawn parts free their place; SIGTERM drains

Seen by a probe line in the connection (removed): data nodes name report values as the settings do (pending, served_ps, cpu_share), so every report was unusable; and of 63 withdrawn or timed out parts one had an answer after its X, so each kept its place on the connection for good. Lines at fault: LoadReport.NAMES, Connection.drop. An answer that crosses an X must still not pass for a part sent again: its id is not used on that connection until its multiget has ended.

--- a/src/main/java/gladewing/decisions/Taken.java
+++ b/src/main/java/gladewing/decisions/Taken.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Whether it has its final answer, or its client has left. */
+    public final boolean ended() {
+        return ended;
+    }
+
     /** Final: answered with the values that are in. */
     public abstract void finished(boolean whole);
 
--- a/src/main/java/gladewing/frames/LoadReport.java
+++ b/src/main/java/gladewing/frames/LoadReport.java
@@ -1,22 +1,27 @@
 package gladewing.frames;
 
 import gladewing.router.Load;
+import java.util.Arrays;
+import java.util.List;
 
 /** A report of load on the wire: names and numbers, parted by commas, or a dash where there is none. */
 public final class LoadReport {
-    private static final String[] NAMES = {"queue", "inflight", "latency_ms", "qps", "util"};
+    /** The settings' name of each value, and the protocol's. */
+    private static final List<List<String>> NAMES = List.of(List.of("pending", "queue"),
+            List.of("busy_reqs", "inflight"), List.of("svc_ms", "latency_ms"), List.of("served_ps", "qps"),
+            List.of("cpu_share", "util"));
 
     private LoadReport() { }
 
     /** Null for no report and for one that can't be used: it counts as none. Unknown names are passed over. */
     public static Load read(String report) {
-        double[] values = new double[NAMES.length];
-        java.util.Arrays.fill(values, Double.NaN);
+        double[] values = new double[NAMES.size()];
+        Arrays.fill(values, Double.NaN);
         boolean any = false;
         for (String field : report.split(",")) {
             int equals = field.indexOf('=');
-            for (int i = 0; equals > 0 && i < NAMES.length; i++) {
-                if (field.substring(0, equals).equals(NAMES[i])) {
+            for (int i = 0; equals > 0 && i < NAMES.size(); i++) {
+                if (NAMES.get(i).contains(field.substring(0, equals))) {
                     values[i] = number(field.substring(equals + 1));
                     any = true;
                     if (Double.isNaN(values[i])) {
--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -27,8 +27,10 @@
     final InetSocketAddress address;
     private final ConnectionBuffer in = new ConnectionBuffer(FrameReader.LONGEST + 64 * 1024);
     private final FrameReader frames = new FrameReader();
-    /** By part id: all whose end the node still owes, also those that nobody waits for any more. */
+    /** By part id: all whose end the node owes, also those that timed out where nothing may be withdrawn. */
     private final Map<String, Flight> out = new LinkedHashMap<>();
+    /** Withdrawn: the node owes nothing, but an answer may have crossed, and must not pass for a later one. */
+    private final Map<String, Flight> withdrawn = new LinkedHashMap<>();
     private final Deque<Probe> probes = new ArrayDeque<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private Channel channel;
@@ -67,7 +69,7 @@
     /** Whether these can be told apart from all that is out here, find a place, and would be read soon. */
     boolean hasRoom(List<Flight> call, int most) {
         return !over && (!up || channel.isWritable()) && load() + call.size() <= most
-                && call.stream().noneMatch(f -> out.containsKey(f.id));
+                && call.stream().noneMatch(f -> out.containsKey(f.id) || withdrawn.containsKey(f.id));
     }
 
     void send(List<Flight> call) {
@@ -114,10 +116,17 @@
         if (flight.frame == null) {
             out.remove(flight.id, flight);
         } else if (tell) {
+            out.remove(flight.id, flight);
+            withdrawn.put(flight.id, flight);
             write(Frames.giveUp(channel.alloc(), flight.id));
         }
     }
 
+    /** The parts of a multiget that has its final answer are not sent again. */
+    void forgetEnded() {
+        withdrawn.values().removeIf(f -> f.transmission.of.ended());
+    }
+
     void close() {
         if (channel != null) {
             channel.close();
@@ -167,6 +176,7 @@
                     return "an answer that can't be read";
                 }
                 Flight flight = out.remove(answer.id());
+                withdrawn.remove(answer.id());
                 if (flight != null && !flight.over) {
                     live--;
                     nodes.answered(flight, answer);
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -161,6 +161,7 @@
         Span most = new Span(limits.idle().micros() - IDLE_CHECK.micros() * 2);
         for (Pool pool : new ArrayList<>(pools.values())) {
             for (Connection c : new ArrayList<>(pool.connections)) {
+                c.forgetEnded();
                 boolean retired = !c.address.equals(pool.address);
                 if (c.idle() && (retired || now.since(c.usedAt).longerThan(most))) {
                     c.close();
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -7,6 +7,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
+import java.util.concurrent.ExecutionException;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 
 /** The program as a process: its configuration, its one event loop, its log, its end. */
 public final class Program {
@@ -14,6 +17,7 @@
 
     /** Serves until it is told to end; the result is the process's exit code. */
     public static int run(String configPath, PrintStream complaints) {
+        Logs.install();
         try {
             if (configPath == null) {
                 throw new Unusable("RELAY_CONFIG is not set");
@@ -26,15 +30,28 @@
             if (!listening.await().isSuccess()) {
                 throw new Unusable("can't listen on " + config.listen() + ": " + listening.cause().getMessage());
             }
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending()), "ending"));
             group.terminationFuture().await();
             return 0;
         } catch (Unusable bad) {
             complaints.println("serve: " + bad.getMessage());
-        } catch (java.util.concurrent.ExecutionException fault) {
+        } catch (ExecutionException fault) {
             complaints.println("serve: " + fault.getCause().getMessage());
         } catch (InterruptedException ended) {
             Thread.currentThread().interrupt();
         }
         return 1;
     }
+
+    private static void end(EventLoop thread, Ending ending) {
+        try {
+            thread.execute(ending::begin);
+            ending.await();
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        }
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
+        }
+    }
 }
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -18,6 +18,7 @@
 import gladewing.nodes.Nodes;
 import gladewing.nodes.Reports;
 import gladewing.router.Load;
+import gladewing.router.Settings;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import io.netty.bootstrap.Bootstrap;
@@ -43,6 +44,7 @@
     private final Clients clients;
     private final Nodes nodes;
     private final Watch watch;
+    private final Ending ending;
     private final Config config;
     /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
     private final long unixOffset;
@@ -64,6 +66,11 @@
                 told.loadProbes()), this);
         clients = new Clients(loop, new Site(config.products(), config.shards()), shared - shared / 2, this);
         watch = new Watch(loop, bootstrap, config.discovery(), config.settings().shards().cells(), this);
+        Span longest = Span.ZERO;
+        for (Settings.Product product : config.settings().products()) {
+            longest = Span.longest(longest, product.limit());
+        }
+        ending = new Ending(loop, clients, longest);
         loop.start(this);
     }
 
@@ -75,7 +82,7 @@
         watch.start();
         // A silent discovery is no reason to stay away: what was known last is better than nothing.
         if (!known.targets().isEmpty()) {
-            loop.after(PATIENCE_FOR_LIST, () -> clients.setReady(true));
+            loop.after(PATIENCE_FOR_LIST, this::ready);
         }
         return clients.listen(new ServerBootstrap().group(thread).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -117,9 +124,7 @@
     @Override
     public void list(Listing listing) {
         put(listing);
-        if (!draining) {
-            clients.setReady(true);
-        }
+        ready();
     }
 
     @Override
@@ -127,7 +132,15 @@
         carryOut(decisions.reportListFailed());
     }
 
-    private boolean draining;
+    private void ready() {
+        if (!ending.begun()) {
+            clients.setReady(true);
+        }
+    }
+
+    Ending ending() {
+        return ending;
+    }
 
     private void put(Listing listing) {
         List<NodeTable.Line<String>> lines = new ArrayList<>();
