--- a/src/main/java/gladewing/decisions/Transmission.java
+++ b/src/main/java/gladewing/decisions/Transmission.java
@@ -11,7 +11,7 @@
     final int number;
     final int nodeIndex;
 
-    Transmission(Taken of, int part, String node, Span timeOut, int number, int nodeIndex) {
+    public Transmission(Taken of, int part, String node, Span timeOut, int number, int nodeIndex) {
         this.of = of;
         this.part = part;
         this.node = node;
--- a/src/main/java/gladewing/nodes/Flight.java
+++ b/src/main/java/gladewing/nodes/Flight.java
@@ -25,8 +25,8 @@
         this.sentAt = sentAt;
     }
 
-    /** How far it had come, when its connection has broken. */
-    End broken() {
+    /** How far what was in a frame had come, when its connection broke; null is a frame not yet begun. */
+    static End broken(ChannelFuture frame) {
         return frame != null && frame.isSuccess() ? End.BROKEN : End.NOT_WRITTEN;
     }
 
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -193,7 +193,7 @@
 
     void lost(Flight flight) {
         flight.on = null;
-        end(flight, flight.broken(), null, null);
+        end(flight, Flight.broken(flight.frame), null, null);
     }
 
     void probed(Probe probe, String told) {
@@ -201,7 +201,7 @@
     }
 
     void lost(Probe probe) {
-        end(probe, probe.frame != null && probe.frame.isSuccess() ? End.BROKEN : End.NOT_WRITTEN, null);
+        end(probe, Flight.broken(probe.frame), null);
     }
 
     private void end(Flight flight, End end, String value, Load load) {
--- a/src/main/java/gladewing/serve/Logs.java
+++ b/src/main/java/gladewing/serve/Logs.java
@@ -1,32 +1,30 @@
 package gladewing.serve;
 
-import java.util.logging.LogManager;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 
-/**
- * Java's log manager resets itself in a shutdown hook of its own, beside ours: what is logged while the
- * program ends would be lost. This one leaves its handlers alone until the end says so.
- */
-public final class Logs extends LogManager {
+/** Sets up java.util.logging: one line a record, to standard error. */
+final class Logs {
     private static final String FORMAT = "%1$tF %1$tT.%1$tL %4$s %3$s: %5$s%6$s%n";
 
-    /** Public for LogManager, which makes the one instance. */
-    public Logs() { }
+    private Logs() { }
 
-    /** Before anything is logged. */
+    /** Before anything is logged; the manager is named in a class that is none, or it would come too late. */
     static void install() {
-        System.setProperty("java.util.logging.manager", Logs.class.getName());
+        System.setProperty("java.util.logging.manager", "gladewing.serve.KeptLogs");
         if (System.getProperty("java.util.logging.SimpleFormatter.format") == null) {
             System.setProperty("java.util.logging.SimpleFormatter.format", FORMAT);
         }
-        java.util.logging.Logger root = LogManager.getLogManager().getLogger("");
-        for (java.util.logging.Handler handler : root.getHandlers()) {
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
         root.addHandler(new LogWriter(System.err));
     }
 
-    @Override
-    public void reset() {
-        // Not while the program may still log.
+    static void flush() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
+        }
     }
 }
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -8,8 +8,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.util.concurrent.ExecutionException;
-import java.util.logging.Handler;
-import java.util.logging.Logger;
 
 /** The program as a process: its configuration, its one event loop, its log, its end. */
 public final class Program {
@@ -50,8 +48,6 @@
         } catch (InterruptedException ended) {
             Thread.currentThread().interrupt();
         }
-        for (Handler handler : Logger.getLogger("").getHandlers()) {
-            handler.flush();
-        }
+        Logs.flush();
     }
 }
--- /dev/null
+++ b/src/test/java/gladewing/frames/FramesTest.java
@@ -0,0 +1,66 @@
+package gladewing.frames;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gladewing.buffer.ConnectionBuffer;
+import gladewing.router.Trace;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FramesTest {
+    @Test
+    void whatIsWrittenIsReadHoweverItIsCut() throws IOException {
+        UnpooledByteBufAllocator from = UnpooledByteBufAllocator.DEFAULT;
+        byte[] text = "zw\u00f6lf".getBytes(StandardCharsets.UTF_8);
+        ByteBuf all = Unpooled.wrappedBuffer(
+                Frames.call(from, List.of(new Frames.CallPart("9b.3", 3, 240, text),
+                        new Frames.CallPart("9b.12", 12, 240, text))),
+                Frames.giveUp(from, "9b.3"), Frames.probe(from, Frames.LOAD_PROBE));
+        byte[] bytes = new byte[all.readableBytes()];
+        all.readBytes(bytes);
+        for (int step : new int[] {bytes.length, 1, 2, 3, 7}) {
+            assertEquals(Trace.kept("frames.txt"), read(bytes, step), "in steps of " + step);
+        }
+    }
+
+    @Test
+    void impossibleLengths() {
+        assertEquals("unusable\n", read(new byte[] {0, 0, 0, 0, 'A'}, 5));
+        assertEquals("unusable\n", read(new byte[] {-1, -1, -1, -1, 'A'}, 1));
+        assertEquals("unusable\n", read(new byte[] {0, 0, 3, 0, 'A'}, 5));
+    }
+
+    private static String read(byte[] bytes, int step) {
+        ConnectionBuffer in = new ConnectionBuffer(1000);
+        FrameReader reader = new FrameReader();
+        StringBuilder told = new StringBuilder();
+        for (int at = 0; at < bytes.length; at += step) {
+            in.take(Unpooled.wrappedBuffer(bytes, at, Math.min(step, bytes.length - at)));
+            FrameReader.Progress progress = reader.read(in);
+            for (; progress == FrameReader.Progress.FRAME; progress = reader.read(in)) {
+                told.append(reader.letter()).append(": ").append(reader.text()).append('\n');
+            }
+            if (progress == FrameReader.Progress.UNUSABLE) {
+                return told.append("unusable\n").toString();
+            }
+        }
+        return told.toString();
+    }
+
+    @Test
+    void answersAndReports() throws IOException {
+        StringBuilder told = new StringBuilder();
+        for (String rest : new String[] {"9b.3 ok 1840277719 -\nvalue", "9b.3 ok 1 -\n", "9b.3 err 1 inflight=7,util=0.61\n",
+            "9b.3 busy - pending=2,served_ps=3.5,cpu_share=0.5,other=9\n", "9b.3 ok 1 pending=x\nvalue\nwith lines",
+            "9b.3 ok 1 pending=-1\n", "9b.3 ok 1 pending=NaN\n", "9b.3 maybe 1 -\n", "9b.3 ok 1 -", "9b.3 ok -\n", " ok 1 -\n", ""}) {
+            told.append(rest.replace("\n", "|")).append(" -> ")
+                    .append(String.valueOf(Answer.read(rest.getBytes(StandardCharsets.UTF_8))).replace("\n", "|")).append('\n');
+        }
+        assertEquals(Trace.kept("answers.txt"), told.toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/gladewing/nodes/FlightTest.java
@@ -0,0 +1,22 @@
+package gladewing.nodes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gladewing.decisions.End;
+import io.netty.channel.DefaultChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+
+class FlightTest {
+    /** Handed to the program's queue is not written: only the last byte in the socket makes a reset of it. */
+    @Test
+    void howFarAFrameHadCome() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        DefaultChannelPromise frame = new DefaultChannelPromise(channel);
+        assertEquals(End.NOT_WRITTEN, Flight.broken(null));
+        assertEquals(End.NOT_WRITTEN, Flight.broken(frame));
+        frame.setSuccess();
+        assertEquals(End.BROKEN, Flight.broken(frame));
+        assertEquals(End.NOT_WRITTEN, Flight.broken(channel.newFailedFuture(new java.io.IOException("reset"))));
+    }
+}
--- /dev/null
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -0,0 +1,552 @@
+package gladewing.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladewing.router.Trace;
+import java.io.BufferedReader;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The started program, spoken to over loopback sockets by stand-ins for clients, data nodes and discovery. */
+public class ServeTest {
+    private static final int PATIENCE_S = 30;
+    private static final InetAddress HERE = InetAddress.getLoopbackAddress();
+
+    private interface Accepted {
+        void serve(Socket socket) throws IOException;
+    }
+
+    private static ServerSocket listen(Accepted each) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, HERE);
+        thread(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                thread(() -> each.serve(socket));
+            }
+        });
+        return listener;
+    }
+
+    private interface Blocking {
+        void run() throws IOException;
+    }
+
+    private static void thread(Blocking what) {
+        Thread thread = new Thread(() -> {
+            try {
+                what.run();
+            } catch (IOException ended) {
+                // The other side has closed, as tests do.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A data node that answers only what a test says, and tells each frame that comes. */
+    public static final class NodeStandIn implements AutoCloseable {
+        public final class Call {
+            public final char letter;
+            public final String rest;
+            public final int connection;
+            private final Socket socket;
+
+            Call(Socket socket, int connection, char letter, String rest) {
+                this.socket = socket;
+                this.connection = connection;
+                this.letter = letter;
+                this.rest = rest;
+            }
+
+            public void answer(String id, String end, String value) throws IOException {
+                write('A', id + " " + end + " 1 -\n" + value);
+            }
+
+            public void write(char withLetter, String text) throws IOException {
+                byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+                byte[] frame = new byte[bytes.length + 5];
+                for (int i = 0; i < 4; i++) {
+                    frame[i] = (byte) (bytes.length + 1 >> 8 * i);
+                }
+                frame[4] = (byte) withLetter;
+                System.arraycopy(bytes, 0, frame, 5, bytes.length);
+                raw(frame);
+            }
+
+            public void raw(byte[] bytes) throws IOException {
+                socket.getOutputStream().write(bytes);
+            }
+
+            public void close() throws IOException {
+                socket.close();
+            }
+
+            /** The part ids of a call, as its lines name them. */
+            @Override
+            public String toString() {
+                return letter + " " + rest.replaceAll(" d=\\d+ ", " ").replace("\n", "|");
+            }
+        }
+
+        private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+        private final List<Socket> sockets = new ArrayList<>();
+        private final ServerSocket listener;
+
+        public NodeStandIn() throws IOException {
+            listener = listen(this::serve);
+        }
+
+        private void serve(Socket socket) throws IOException {
+            int connection;
+            synchronized (sockets) {
+                sockets.add(socket);
+                connection = sockets.size();
+            }
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
+                in.readFully(frame);
+                calls.add(new Call(socket, connection, (char) frame[0],
+                        new String(frame, 1, frame.length - 1, StandardCharsets.UTF_8)));
+            }
+        }
+
+        public String endpoint() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        public int port() {
+            return listener.getLocalPort();
+        }
+
+        public Call next() throws InterruptedException {
+            Call call = calls.poll(PATIENCE_S, TimeUnit.SECONDS);
+            assertNotNull(call, "a frame to the data node");
+            return call;
+        }
+
+        public boolean silent() {
+            return calls.isEmpty();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            synchronized (sockets) {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    /** Discovery's agent: gives the list, and a watch's answer once there is a newer one. */
+    private static final class Discovery {
+        private final ServerSocket listener;
+        private String answer;
+        private int revision;
+        private int calls;
+
+        Discovery() throws IOException {
+            listener = listen(this::serve);
+        }
+
+        private void serve(Socket socket) throws IOException {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.ISO_8859_1));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                String asked = line;
+                while (!line.isEmpty()) {
+                    line = in.readLine();
+                }
+                socket.getOutputStream().write(answerTo(asked).getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        private synchronized String answerTo(String asked) throws IOException {
+            int after = asked.contains("after=") ? Integer.parseInt(asked.replaceAll(".*after=(\\d+).*", "$1")) : -1;
+            calls++;
+            notifyAll();
+            try {
+                while (answer == null || revision <= after) {
+                    wait();
+                }
+            } catch (InterruptedException ended) {
+                throw new IOException(ended);
+            }
+            return answer;
+        }
+
+        /** Any text as the answer to the call that is open, and to later ones. */
+        synchronized void say(int newRevision, String text) {
+            revision = newRevision;
+            answer = text;
+            notifyAll();
+        }
+
+        synchronized void awaitCall(int number) throws InterruptedException {
+            while (calls < number) {
+                wait(1000 * PATIENCE_S);
+            }
+        }
+
+        void list(int newRevision, boolean all, String... targets) {
+            String body = "{\"rev\":" + newRevision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
+            say(newRevision, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
+                    + "\r\n" + body + "\r\n0\r\n\r\n");
+        }
+    }
+
+    private static String target(String uid, String endpoint, int cell, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint + "\",\"az\":\"x\",\"model\":\"m\",\"pod_group\":" + cell
+                + ",\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    private final class Client {
+        private final Socket socket;
+
+        Client() throws IOException {
+            socket = new Socket(HERE, port);
+            socket.setSoTimeout(1000 * PATIENCE_S);
+        }
+
+        Client send(String raw) throws IOException {
+            socket.getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        Client ask(String product, String id, int... shards) throws IOException {
+            StringBuilder parts = new StringBuilder();
+            for (int shard : shards) {
+                parts.append(parts.length() == 0 ? "" : ",").append("{\"shard\":").append(shard).append(",\"weight\":")
+                        .append(1.0 / shards.length).append('}');
+            }
+            String body = "{\"shards\":[" + parts + "],\"q\":\"c4\"}";
+            return send("POST /" + product + " HTTP/1.1\r\nX-Request-ID: " + id + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: "
+                    + body.length() + "\r\n\r\n" + body);
+        }
+
+        /** Status, the headers that matter, and the body; what is not there is told as the end. */
+        String response() throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int c = socket.getInputStream().read();
+                if (c < 0) {
+                    return head.length() == 0 ? "end" : "cut";
+                }
+                head.append((char) c);
+            }
+            int length = Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
+            String body = new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
+            return head.substring(9, 12) + (head.indexOf("Retry-After: ") > 0 ? " come back later" : "")
+                    + (head.indexOf("Connection: close") > 0 ? " close" : "") + (length > 0 ? " " + body : "");
+        }
+
+        void leave() throws IOException {
+            socket.close();
+        }
+    }
+
+    @TempDir
+    Path folder;
+    private final StringBuilder told = new StringBuilder();
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    private Process program;
+    private int port;
+    private Discovery discovery;
+    private NodeStandIn a;
+    private NodeStandIn b;
+
+    private static Process run(Path config, Path folder) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx48m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "gladewing.Main", "serve");
+        builder.environment().put("RELAY_CONFIG", config.toString());
+        return builder.directory(folder.toFile()).redirectErrorStream(true).start();
+    }
+
+    private void start(String known) throws Exception {
+        discovery = new Discovery();
+        a = new NodeStandIn();
+        b = new NodeStandIn();
+        for (int attempt = 0; attempt < 5; attempt++) {
+            try (ServerSocket free = new ServerSocket(0, 1, HERE)) {
+                port = free.getLocalPort();
+            }
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:" + port)
+                    .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort()).replace("\"KNOWN\"", known));
+            program = run(config, folder);
+            Process started = program;
+            thread(() -> {
+                BufferedReader out = started.inputReader();
+                for (String line = out.readLine(); line != null; line = out.readLine()) {
+                    log.add(line);
+                }
+            });
+            if (awaitListening()) {
+                return;
+            }
+        }
+        throw new AssertionError("the program did not start: " + log);
+    }
+
+    /** False where it has ended, as when another program took its port. */
+    private boolean awaitListening() throws Exception {
+        for (int i = 0; i < 100 * PATIENCE_S; i++) {
+            try {
+                new Client().leave();
+                return true;
+            } catch (IOException notYet) {
+                if (program.waitFor(10, TimeUnit.MILLISECONDS)) {
+                    return false;
+                }
+            }
+        }
+        return false;
+    }
+
+    private void startWithList() throws Exception {
+        start("{\"rev\":1,\"all\":true,\"targets\":[]}");
+        discovery.list(7, true, target("a", a.endpoint(), 0, "up"), target("b", b.endpoint(), 1, "up"));
+        awaitReady("200");
+    }
+
+    private void awaitReady(String status) throws Exception {
+        for (int i = 0; i < 100 * PATIENCE_S; i++) {
+            Client client = new Client().send("GET /health/ready HTTP/1.1\r\n\r\n");
+            String response = client.response();
+            client.leave();
+            if (response.startsWith(status)) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError("never " + status);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        if (program != null) {
+            program.destroyForcibly();
+        }
+        for (AutoCloseable node : new AutoCloseable[] {a, b, discovery == null ? null : discovery.listener}) {
+            try {
+                if (node != null) {
+                    node.close();
+                }
+            } catch (Exception closed) {
+                throw new IOException(closed);
+            }
+        }
+    }
+
+    private void told(String who, Object what) {
+        told.append(who).append(": ").append(what).append('\n');
+    }
+
+    private void same(String kept) throws IOException {
+        assertEquals(Trace.kept(kept), told.toString());
+    }
+
+    @Test
+    void answersWholeInPartAndNotAtAll() throws Exception {
+        startWithList();
+        Client client = new Client().ask("report", "r1", 0, 1, 2);
+        NodeStandIn.Call toA = a.next();
+        NodeStandIn.Call toB = b.next();
+        told("a", toA);
+        told("b", toB);
+        toA.answer("r1.2", "ok", "two \"quoted\"");
+        toB.answer("r1.1", "ok", "one");
+        toA.answer("r1.0", "ok", "");
+        told("client", client.response());
+        client.ask("sheet", "r2", 0, 1);
+        a.next().answer("r2.0", "ok", "zero");
+        told("b", b.next());
+        told("client", client.response());
+        told("b", b.next());
+        client.ask("report", "r3", 0);
+        NodeStandIn.Call full = a.next();
+        full.answer("r3.0", "busy", "");
+        told("a, asked again", a.next());
+        full.answer("r3.0", "ok", "later");
+        told("client", client.response());
+        discovery.list(8, false, target("b", b.endpoint(), 1, "removed"));
+        discovery.awaitCall(3);
+        told("client", client.ask("report", "r4", 1).response());
+        same("serve-answers.txt");
+    }
+
+    @Test
+    void aClientThatLeavesIsForgotten() throws Exception {
+        startWithList();
+        Client client = new Client().ask("report", "r1", 0);
+        NodeStandIn.Call call = a.next();
+        client.leave();
+        told("a", a.next());
+        call.answer("r1.0", "ok", "crossed");
+        Client other = new Client().ask("report", "r2", 0);
+        a.next().answer("r2.0", "ok", "zero");
+        told("other client", other.response());
+        same("serve-leaves.txt");
+    }
+
+    /** A once-only part is sent again after a connection that never came up, but not after one that broke. */
+    @Test
+    void nodeConnectionsThatBreakBeforeAndAfterTheFrame() throws Exception {
+        startWithList();
+        int free = a.port();
+        a.listener.close();
+        Client client = new Client().ask("order", "o1", 0);
+        discovery.list(8, false, target("a", b.endpoint(), 0, "up"));
+        NodeStandIn.Call call = b.next();
+        told("a at its new endpoint", call);
+        call.answer("o1.0", "ok", "done");
+        told("client", client.response());
+        client.ask("order", "o2", 0);
+        b.next().close();
+        told("client", client.response());
+        assertTrue(free > 0);
+        client.ask("report", "r3", 0);
+        NodeStandIn.Call first = b.next();
+        first.close();
+        NodeStandIn.Call again = b.next();
+        told("a, asked again", again);
+        again.answer("r3.0", "ok", "zero");
+        told("client", client.response());
+        same("serve-broken.txt");
+    }
+
+    @Test
+    void badFramesEndTheirConnectionAlone() throws Exception {
+        startWithList();
+        Client client = new Client();
+        String[] bad = {"E", "letter", "answer", "length"};
+        for (int i = 0; i < bad.length; i++) {
+            client.ask("report", "r" + i, 0, 1);
+            NodeStandIn.Call toA = a.next();
+            b.next().answer("r" + i + ".1", "ok", "one");
+            toA.answer("unknown.0", "ok", "dropped");
+            switch (bad[i]) {
+                case "E" -> toA.write('E', "no such shard");
+                case "letter" -> toA.write('z', "");
+                case "answer" -> toA.write('A', "no line");
+                default -> toA.raw(new byte[] {0, 0, 0, 0});
+            }
+            NodeStandIn.Call again = a.next();
+            again.answer("r" + i + ".0", "ok", "zero");
+            told(bad[i], client.response() + " on connection " + again.connection);
+        }
+        same("serve-bad-frames.txt");
+    }
+
+    @Test
+    void badRequestsAreTurnedDownAndEndNothing() throws Exception {
+        startWithList();
+        for (String line : Trace.kept("serve-bad-requests.txt").split("\n")) {
+            String raw = line.substring(0, line.indexOf(" -> "));
+            told.append(raw).append(" -> ").append(request(raw)).append('\n');
+        }
+        assertTrue(a.silent() && b.silent());
+        Client client = new Client().ask("report", "r9", 0);
+        a.next().answer("r9.0", "ok", "still there");
+        told.append(client.response()).append('\n');
+        assertEquals(Trace.kept("serve-bad-requests.txt") + "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"still there\"}]}\n",
+                told.toString());
+    }
+
+    /** The request line and headers, parted by bars, and the body behind two of them; its length is added. */
+    private String request(String raw) throws IOException {
+        int body = raw.indexOf("||");
+        String head = body < 0 ? raw : raw.substring(0, body);
+        String rest = body < 0 ? "" : raw.substring(body + 2);
+        String length = head.contains("Length") || head.contains("Encoding") ? "" : "|Content-Length: " + rest.length();
+        Client client = new Client().send((head + length + "||" + rest).replace("|", "\r\n"));
+        String response = client.response();
+        client.leave();
+        return response;
+    }
+
+    @Test
+    void discoveryMayFailInAnyWay() throws Exception {
+        start("{\"rev\":1,\"all\":true,\"targets\":[" + target("b", "127.0.0.1:9", 1, "up") + "]}");
+        awaitReady("200");
+        told("ready", "by what was known, as discovery is silent");
+        String[] bad = {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}}",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "nonsense\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"};
+        for (String answer : bad) {
+            int calls = discovery.calls;
+            discovery.say(9, answer);
+            discovery.awaitCall(calls + 2);
+        }
+        discovery.list(3, true, target("a", a.endpoint(), 0, "up"));
+        Client client = new Client();
+        client.ask("report", "r1", 0);
+        a.next().answer("r1.0", "ok", "zero");
+        told("client, after a list of a lower revision", client.response());
+        same("serve-discovery.txt");
+    }
+
+    @Test
+    void endsInGoodOrderOnASignal() throws Exception {
+        startWithList();
+        Client client = new Client().ask("report", "r1", 0);
+        Client idle = new Client();
+        NodeStandIn.Call call = a.next();
+        program.destroy();
+        awaitReady("503");
+        Client late = new Client().ask("report", "r2", 1);
+        b.next().answer("r2.1", "ok", "one");
+        told("a client that came after the signal", late.response() + ", then " + late.response());
+        told("an idle one", idle.response());
+        call.answer("r1.0", "ok", "zero");
+        told("one from before it", client.response() + ", then " + client.response());
+        assertTrue(program.waitFor(PATIENCE_S, TimeUnit.SECONDS));
+        told("exit", program.exitValue());
+        for (String line = log.poll(PATIENCE_S, TimeUnit.SECONDS); ; line = log.poll(PATIENCE_S, TimeUnit.SECONDS)) {
+            assertNotNull(line, "a last line of the log");
+            if (line.contains("ended")) {
+                told("log", line.replaceAll(".*: ", ""));
+                break;
+            }
+        }
+        same("serve-signal.txt");
+    }
+
+    @Test
+    void unusableConfigurations() throws Exception {
+        Path config = folder.resolve("bad.json");
+        String good = Trace.kept("serve-config.json").replace("\"KNOWN\"", "{\"rev\":1,\"all\":true,\"targets\":[]}")
+                .replace("DISCOVERY", "127.0.0.1:9");
+        String[] texts = {null, "{", good.replace("LISTEN", "name:5000"), good.replace("LISTEN", "127.0.0.1:1").replace("\"Tick\"", "\"T\""),
+            good.replace("LISTEN", "192.0.2.1:5000")};
+        for (String text : texts) {
+            Files.deleteIfExists(config);
+            if (text != null) {
+                Files.writeString(config, text);
+            }
+            Process process = run(config, folder);
+            String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            told("status " + process.waitFor(), said.replace(config.toString(), "FILE").strip());
+        }
+        same("serve-unusable.txt");
+    }
+}
