A request read after a standstill has less time left; closes linger; stalled requests end; tests

A close with bytes unread resets the connection and may take the response with it (ClientConnection.answer): output is shut first, the rest a second later or when the client closes. A request begun and not finished for 10 s is closed. An error in a pass no longer leaves the loop within it for good.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -2,13 +2,14 @@
 
 import gladewing.buffer.ConnectionBuffer;
 import gladewing.http.MessageReader;
+import gladewing.router.Span;
 import gladewing.router.Time;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.logging.Level;
@@ -18,6 +19,9 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
 
+    private static final Span LINGER = Span.ofMillis(1000);
+    private static final Span LONGEST_REQUEST = Span.ofMillis(10_000);
+
     private final Clients clients;
     private final ConnectionBuffer in = new ConnectionBuffer(MessageReader.MOST_BYTES);
     private final MessageReader message = new MessageReader();
@@ -65,7 +69,7 @@
                 status = clients.reader.read(message);
             }
             if (status == 0) {
-                open = clients.reader.exchange(this);
+                open = clients.reader.exchange(this, clients.loop.late());
                 clients.asks.asked(open);
             } else if (status == RequestReader.READY) {
                 answer(clients.ready() ? status : Responses.UNAVAILABLE, "", "");
@@ -94,13 +98,24 @@
         ChannelFuture written = channel.write(out.writeBytes(bytes));
         clients.loop.flushLater(channel);
         if (over) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            written.addListener(done -> closeSoon());
         } else if (wasOpen) {
             // What came after the request, if anything, is read in a pass of its own.
             clients.loop.later(this::next);
         }
     }
 
+    /** With bytes unread, a close at once would reset the connection and take the response with it. */
+    private void closeSoon() {
+        ((SocketChannel) channel).shutdownOutput();
+        clients.loop.after(LINGER, channel::close);
+    }
+
+    /** Begun to ask and never finished, for so long that nobody can mean it. */
+    boolean stalled(Time now) {
+        return open == null && !idle() && now.since(usedAt).longerThan(LONGEST_REQUEST);
+    }
+
     boolean idle() {
         return open == null && !message.within() && in.size() == 0;
     }
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -1,6 +1,8 @@
 package gladewing.clients;
 
 import gladewing.loop.Loop;
+import gladewing.router.Span;
+import gladewing.router.Time;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -18,6 +20,8 @@
     final Loop loop;
     final Asks asks;
     final RequestReader reader;
+    private static final Span CHECK = Span.ofMillis(1000);
+
     private final int most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
@@ -40,9 +44,16 @@
             }
         }).bind(address);
         listener = bound.channel();
+        loop.after(CHECK, this::closeStalled);
         return bound;
     }
 
+    private void closeStalled() {
+        Time now = loop.pass();
+        new ArrayList<>(connections).stream().filter(c -> c.stalled(now)).forEach(ClientConnection::close);
+        loop.after(CHECK, this::closeStalled);
+    }
+
     public void setReady(boolean now) {
         ready = now;
     }
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -103,8 +103,9 @@
         return Span.ofMillis(Integer.parseInt(told));
     }
 
-    /** The multiget that was read last. */
-    Exchange exchange(ClientConnection from) {
-        return new Exchange(from, id, product, left, again, parts, text);
+    /** The multiget that was read last; its client's time has run while it waited to be read. */
+    Exchange exchange(ClientConnection from, Span waited) {
+        Span now = new Span(Math.max(1, left.micros() - waited.micros()));
+        return new Exchange(from, id, product, now, again, parts, text);
     }
 }
--- a/src/main/java/gladewing/loop/Loop.java
+++ b/src/main/java/gladewing/loop/Loop.java
@@ -35,7 +35,7 @@
     private Time now = clock();
     private ScheduledFuture<?> alarm;
     private Time alarmAt;
-    private Span longestPass = Span.ZERO;
+    private Span late = Span.ZERO;
 
     public Loop(EventLoop thread) {
         this.thread = thread;
@@ -54,6 +54,7 @@
         if (!within) {
             within = true;
             now = clock();
+            late = alarm == null || now.before(alarmAt) ? Span.ZERO : now.since(alarmAt);
             thread.execute(this::end);
             turns.begin(now);
         }
@@ -67,13 +68,18 @@
             turns.end();
         } catch (RuntimeException fault) {
             LOG.log(Level.SEVERE, "a pass ended with a fault of the program", fault);
+        } finally {
+            within = false;
         }
-        within = false;
         List<Channel> flush = new ArrayList<>(written);
         written.clear();
         flush.forEach(Channel::flush);
         setAlarm();
-        longestPass = Span.longest(longestPass, clock().since(now));
+    }
+
+    /** How long this program stood still before this pass: what is read in it may have waited for so long. */
+    public Span late() {
+        return late;
     }
 
     /** For what may not be told in the middle of what is going on now: in a pass of its own, soon. */
@@ -106,20 +112,12 @@
     }
 
     private void ring() {
-        alarm = null;
-        // Within a pass already, its end sets the next alarm; what is due then runs at once in the next.
         pass();
+        alarm = null;
     }
 
     /** Writes of one pass leave together when it ends. */
     public void flushLater(Channel channel) {
         written.add(channel);
     }
-
-    /** The longest time that a pass took until all was written, since this was last asked. */
-    public Span longestPass() {
-        Span longest = longestPass;
-        longestPass = Span.ZERO;
-        return longest;
-    }
 }
--- /dev/null
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -0,0 +1,252 @@
+package gladewing.nodes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gladewing.decisions.End;
+import gladewing.decisions.Taken;
+import gladewing.decisions.Transmission;
+import gladewing.loop.Loop;
+import gladewing.router.Load;
+import gladewing.router.Span;
+import gladewing.router.Time;
+import gladewing.router.Trace;
+import gladewing.serve.ServeTest.NodeStandIn;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class NodesTest implements Reports, Loop.Turns {
+    private static final Span LONG = Span.ofMillis(60_000);
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop thread = group.next();
+    private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+    private final StringBuilder told = new StringBuilder();
+    private Nodes nodes;
+
+    private static final class Asked extends Taken {
+        Asked(String id, int textBytes, int... shards) {
+            super(id, 0, LONG, false, parts(shards), new byte[textBytes]);
+        }
+
+        private static List<Part> parts(int... shards) {
+            List<Part> parts = new ArrayList<>();
+            for (int shard : shards) {
+                parts.add(new Part(shard, 1, Span.ZERO));
+            }
+            return parts;
+        }
+
+        @Override
+        public void finished(boolean whole) { }
+
+        @Override
+        public void dismissed(Span comeBack) { }
+
+        @Override
+        public void givenUp() { }
+    }
+
+    @Override
+    public void begin(Time now) { }
+
+    @Override
+    public void end() { }
+
+    @Override
+    public void ended(Transmission t, End end, Span took, String value, Load load) {
+        ends.add(t.of.id + "." + t.part + " " + end + (value == null ? "" : " " + value));
+    }
+
+    @Override
+    public void probed(String node, End end, Load load) {
+        ends.add("probe of " + node + " " + end + (load == null ? "" : " " + load.waiting()));
+    }
+
+    private void start(int connections, boolean withdrawals, Span idle) throws Exception {
+        run(() -> {
+            Loop loop = new Loop(thread);
+            loop.start(this);
+            nodes = new Nodes(loop, new Bootstrap().group(thread).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0), new NodeLimits(4, 2, Span.ofMillis(2000), idle,
+                    connections, withdrawals, true), this);
+        });
+    }
+
+    private void run(Runnable what) throws Exception {
+        thread.submit(what).get();
+    }
+
+    private void list(String node, int port) throws Exception {
+        run(() -> nodes.listed(node, new InetSocketAddress("127.0.0.1", port)));
+    }
+
+    private static Transmission to(String node, Taken of, int part, Span timeOut) {
+        return new Transmission(of, part, node, timeOut, 0, 0);
+    }
+
+    private void transmit(Transmission... together) throws Exception {
+        run(() -> nodes.transmit(List.of(together)));
+    }
+
+    private void told(String who, Object what) {
+        told.append(who).append(": ").append(what).append('\n');
+    }
+
+    private void nextEnd() throws InterruptedException {
+        String end = ends.poll(30, TimeUnit.SECONDS);
+        assertNotNull(end, "an end");
+        told("end", end);
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** The id names the part and not the transmission: what crosses the X must not end what was sent anew. */
+    @Test
+    void anAnswerToWhatWasWithdrawnIsNotTakenForALaterOne() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, true, LONG);
+            list("n", node.port());
+            Taken one = new Asked("1", 2, 0);
+            Transmission first = to("n", one, 0, LONG);
+            transmit(first);
+            NodeStandIn.Call call = node.next();
+            told("connection " + call.connection, call.letter);
+            run(() -> nodes.withdraw(first));
+            nextEnd();
+            told("connection " + call.connection, node.next());
+            transmit(to("n", one, 0, LONG));
+            NodeStandIn.Call again = node.next();
+            told("connection " + again.connection, again.letter);
+            call.answer("1.0", "ok", "old");
+            again.answer("1.0", "ok", "new");
+            nextEnd();
+            assertEquals(Trace.kept("nodes-crossed.txt"), told.toString());
+        }
+    }
+
+    /** Where nothing may be withdrawn, a part that timed out keeps its place until the node has answered it. */
+    @Test
+    void placesOnAConnection() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, false, LONG);
+            list("n", node.port());
+            Taken one = new Asked("1", 2, 0, 1, 2, 3, 4);
+            transmit(to("n", one, 0, Span.ofMillis(400)), to("n", one, 1, LONG), to("n", one, 2, LONG),
+                    to("n", one, 3, LONG));
+            NodeStandIn.Call first = node.next();
+            NodeStandIn.Call second = node.next();
+            told("connection " + first.connection, (first.rest.split(" d=").length - 1) + " parts");
+            told("connection " + second.connection, (second.rest.split(" d=").length - 1) + " parts");
+            nextEnd();
+            transmit(to("n", one, 4, LONG));
+            told("full, so connection", node.next().connection);
+            first.answer("1.0", "ok", "late");
+            first.answer("1.1", "ok", "in time");
+            nextEnd();
+            transmit(to("n", new Asked("2", 2, 0), 0, LONG), to("n", new Asked("3", 2, 0), 0, LONG));
+            told("two more, on connection", node.next().connection);
+            transmit(to("n", new Asked("4", 2, 0), 0, LONG), to("n", new Asked("5", 2, 0), 0, LONG));
+            told("two more, where there is room again, connection", node.next().connection);
+            run(() -> nodes.probe("n"));
+            NodeStandIn.Call probe = node.next();
+            probe.write('L', "pending=3,served_ps=1.5");
+            nextEnd();
+            assertEquals(Trace.kept("nodes-places.txt"), told.toString());
+        }
+    }
+
+    @Test
+    void howFarItHadCome() throws Exception {
+        start(2, true, LONG);
+        int refusing;
+        try (ServerSocket closed = new ServerSocket(0)) {
+            refusing = closed.getLocalPort();
+        }
+        list("refuses", refusing);
+        transmit(to("refuses", new Asked("1", 2, 0), 0, LONG));
+        nextEnd();
+        transmit(to("unknown", new Asked("2", 2, 0), 0, LONG));
+        nextEnd();
+        try (ServerSocket deaf = new ServerSocket(0)) {
+            list("deaf", deaf.getLocalPort());
+            Taken large = new Asked("3", 32 * 1024 * 1024, 0);
+            transmit(to("deaf", large, 0, LONG));
+            Socket socket = deaf.accept();
+            assertTrue(socket.getInputStream().read() >= 0, "some of the frame has come");
+            socket.close();
+            nextEnd();
+        }
+        try (NodeStandIn node = new NodeStandIn()) {
+            list("n", node.port());
+            transmit(to("n", new Asked("4", 2, 0), 0, LONG), to("n", new Asked("5", 2, 0), 0, LONG));
+            node.next().close();
+            nextEnd();
+            nextEnd();
+        }
+        assertEquals(Trace.kept("nodes-how-far.txt"), told.toString());
+    }
+
+    @Test
+    void connectionsWithinTheirNumberAndIdleOnesClosed() throws Exception {
+        try (NodeStandIn a = new NodeStandIn(); NodeStandIn b = new NodeStandIn()) {
+            start(1, true, Span.ofMillis(2200));
+            list("a", a.port());
+            list("b", b.port());
+            transmit(to("a", new Asked("1", 2, 0), 0, LONG));
+            NodeStandIn.Call toA = a.next();
+            transmit(to("b", new Asked("2", 2, 0), 0, LONG));
+            nextEnd();
+            toA.answer("1.0", "ok", "one");
+            nextEnd();
+            transmit(to("b", new Asked("3", 2, 0), 0, LONG));
+            b.next().answer("3.0", "ok", "three");
+            nextEnd();
+            told("a's connection gave way", toA.ended());
+            transmit(to("b", new Asked("4", 2, 0), 0, LONG));
+            NodeStandIn.Call toB = b.next();
+            toB.answer("4.0", "ok", "four");
+            nextEnd();
+            told("b's was idle", toB.ended());
+            assertEquals(Trace.kept("nodes-connections.txt"), told.toString());
+        }
+    }
+
+    @Test
+    void aProbeThatIsNotAnsweredAndOneThatIsLost() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, true, LONG);
+            list("n", node.port());
+            run(() -> nodes.probe("n"));
+            NodeStandIn.Call unanswered = node.next();
+            nextEnd();
+            run(() -> nodes.probe("n"));
+            NodeStandIn.Call next = node.next();
+            unanswered.write('L', "pending=7");
+            next.write('L', "err");
+            nextEnd();
+            run(() -> nodes.probe("n"));
+            node.next().close();
+            nextEnd();
+            assertEquals(Trace.kept("nodes-probes.txt"), told.toString());
+        }
+    }
+}
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -98,6 +98,19 @@
                 socket.close();
             }
 
+            /** Whether the other side ends this call's connection, waited for as long as it takes. */
+            public boolean ended() throws InterruptedException {
+                for (int i = 0; i < 100 * PATIENCE_S; i++) {
+                    synchronized (sockets) {
+                        if (ended.contains(connection)) {
+                            return true;
+                        }
+                    }
+                    Thread.sleep(10);
+                }
+                return false;
+            }
+
             /** The part ids of a call, as its lines name them. */
             @Override
             public String toString() {
@@ -107,6 +120,7 @@
 
         private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
         private final List<Socket> sockets = new ArrayList<>();
+        private final List<Integer> ended = new ArrayList<>();
         private final ServerSocket listener;
 
         public NodeStandIn() throws IOException {
@@ -120,11 +134,17 @@
                 connection = sockets.size();
             }
             DataInputStream in = new DataInputStream(socket.getInputStream());
-            while (true) {
-                byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
-                in.readFully(frame);
-                calls.add(new Call(socket, connection, (char) frame[0],
-                        new String(frame, 1, frame.length - 1, StandardCharsets.UTF_8)));
+            try {
+                while (true) {
+                    byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
+                    in.readFully(frame);
+                    calls.add(new Call(socket, connection, (char) frame[0],
+                            new String(frame, 1, frame.length - 1, StandardCharsets.UTF_8)));
+                }
+            } finally {
+                synchronized (sockets) {
+                    ended.add(connection);
+                }
             }
         }
 
