--- a/examples/ToySite.java
+++ b/examples/ToySite.java
@@ -1,3 +1,4 @@
+import java.io.BufferedOutputStream;
 import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -80,8 +81,9 @@
 
     /** Frames: four bytes of length (least significant first), a letter, the rest. */
     private static void node(String name, Socket socket) throws IOException, InterruptedException {
+        socket.setTcpNoDelay(true);
         DataInputStream in = new DataInputStream(socket.getInputStream());
-        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        DataOutputStream out = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
         while (true) {
             byte[] frame = new byte[Integer.reverseBytes(in.readInt())];
             in.readFully(frame);
