A full client side makes room: evicted connections count no more at once, answers close while others wait

Found by the new integration test: connections accepted in one pass all evicted the same idle one, as its end is told only in a later pass, so the limit was passed (Clients.opened). And once accepting had stopped, an answered client kept its connection, so those that waited could wait for good: answers now close while that is so.

--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -27,6 +27,7 @@
     private Channel listener;
     private boolean ready;
     private boolean closing;
+    private boolean full;
     private boolean limitTold;
 
     public Clients(Loop loop, Site site, int most, Asks asks) {
@@ -67,8 +68,9 @@
         closing = true;
     }
 
+    /** While the end has begun, and while clients wait to be accepted, answers close their connections. */
     boolean closing() {
-        return closing;
+        return closing || full;
     }
 
     /** Accepts no more, and closes those that have nothing open. */
@@ -98,14 +100,18 @@
             limitTold = true;
         }
         if (idlest != null) {
+            // Not counted from here on: its end is told only in a later pass, and many may come in this one.
+            connections.remove(idlest);
             idlest.close();
         } else {
+            full = true;
             listener.config().setAutoRead(false);
         }
     }
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
+        full = false;
         listener.config().setAutoRead(true);
     }
 }
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -302,6 +302,10 @@
     }
 
     private void start(String known) throws Exception {
+        start(known, 256);
+    }
+
+    private void start(String known, int descriptors) throws Exception {
         discovery = new Discovery();
         a = new NodeStandIn();
         b = new NodeStandIn();
@@ -311,7 +315,8 @@
             }
             Path config = folder.resolve("config.json");
             Files.writeString(config, Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:" + port)
-                    .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort()).replace("\"KNOWN\"", known));
+                    .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort()).replace("\"KNOWN\"", known)
+                    .replace("\"sockets\":256", "\"sockets\":" + descriptors));
             program = run(config, folder);
             Process started = program;
             thread(() -> {
@@ -343,7 +348,11 @@
     }
 
     private void startWithList() throws Exception {
-        start("{\"rev\":1,\"all\":true,\"targets\":[]}");
+        startWithList(256);
+    }
+
+    private void startWithList(int descriptors) throws Exception {
+        start("{\"rev\":1,\"all\":true,\"targets\":[]}", descriptors);
         discovery.list(7, true, target("a", a.endpoint(), 0, "up"), target("b", b.endpoint(), 1, "up"));
         awaitReady("200");
     }
@@ -525,6 +534,29 @@
         same("serve-discovery.txt");
     }
 
+    /** Four connections for clients: idle ones give way; with none idle, the next waits until one is answered. */
+    @Test
+    void aFullClientSide() throws Exception {
+        startWithList(64 + 8);
+        List<Client> idle = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            idle.add(new Client());
+        }
+        told("the first of twelve idle ones", idle.get(0).response());
+        List<Client> busy = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            busy.add(new Client().ask("report", "r" + i, i % 2));
+            (i % 2 == 0 ? a : b).next();
+        }
+        told("the last of twelve idle ones", idle.get(11).response());
+        Client waiting = new Client().send("GET /health/ready HTTP/1.1\r\n\r\n");
+        for (int i = 0; i < 4; i++) {
+            told("busy " + i, busy.get(i).response().replaceAll("503.*", "answered"));
+        }
+        told("the one that waited", waiting.response());
+        same("serve-full.txt");
+    }
+
     @Test
     void endsInGoodOrderOnASignal() throws Exception {
         startWithList();
