Connections from before a node's start get nothing new; a probe that finds no connection says so

Found by reading: a machine that vanished says nothing on its old connections, and the pool would have gone on using them after its restart, each first write ending as a reset that may have run (Pool.withRoom). A change of boot_ms under one uid now retires them like a change of endpoint. A probe whose connection never came up ended as one without an answer, as its own timer was set first (Nodes.probe). Expect: 100-continue is answered.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -5,6 +5,7 @@
 import gladewing.router.Span;
 import gladewing.router.Time;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +30,7 @@
     private Exchange open;
     private boolean keep = true;
     private boolean over;
+    private boolean toldToGoOn;
     Time usedAt;
 
     ClientConnection(Clients clients) {
@@ -61,8 +63,10 @@
         while (open == null && !over) {
             MessageReader.Progress progress = message.read(in);
             if (progress == MessageReader.Progress.MORE) {
+                tellToGoOn();
                 break;
             }
+            toldToGoOn = false;
             keep = progress == MessageReader.Progress.MESSAGE && message.keepsAlive();
             int status = message.status();
             if (progress == MessageReader.Progress.MESSAGE) {
@@ -83,6 +87,14 @@
         channel.config().setAutoRead(in.size() < MessageReader.MOST_BYTES / 2);
     }
 
+    private void tellToGoOn() {
+        if (message.waitsToGoOn() && !toldToGoOn) {
+            toldToGoOn = true;
+            channel.write(Unpooled.copiedBuffer(Responses.GO_ON, StandardCharsets.ISO_8859_1));
+            clients.loop.flushLater(channel);
+        }
+    }
+
     /** The one response to the request that was read last; headers end in CRLF each. */
     void answer(int status, String headers, String body) {
         boolean wasOpen = open != null;
--- a/src/main/java/gladewing/clients/Responses.java
+++ b/src/main/java/gladewing/clients/Responses.java
@@ -3,6 +3,7 @@
 /** The heads of responses. */
 final class Responses {
     static final int UNAVAILABLE = 503;
+    static final String GO_ON = "HTTP/1.1 100 Continue\r\n\r\n";
 
     private Responses() { }
 
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -58,6 +58,11 @@
         chunks = null;
     }
 
+    /** Whether the other side holds a body back until it is told to go on. */
+    public boolean waitsToGoOn() {
+        return (state == State.BODY || state == State.CHUNK_SIZE) && "100-continue".equalsIgnoreCase(header("expect"));
+    }
+
     /** Whether a message has begun and is not complete. */
     public boolean within() {
         return state != State.START_LINE && state != State.COMPLETE;
--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -10,13 +10,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.net.InetSocketAddress;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /** One connection to a data node: what is out on it, what waits for it, and the frames that come back. */
@@ -24,7 +25,7 @@
     private static final Logger LOG = Logger.getLogger(Connection.class.getName());
 
     private final Nodes nodes;
-    final InetSocketAddress address;
+    final Seat seat;
     private final ConnectionBuffer in = new ConnectionBuffer(FrameReader.LONGEST + 64 * 1024);
     private final FrameReader frames = new FrameReader();
     /** By part id: all whose end the node owes, also those that timed out where nothing may be withdrawn. */
@@ -39,9 +40,9 @@
     private int live;
     Time usedAt;
 
-    Connection(Nodes nodes, InetSocketAddress address) {
+    Connection(Nodes nodes, Seat seat) {
         this.nodes = nodes;
-        this.address = address;
+        this.seat = seat;
         this.usedAt = nodes.loop.pass();
     }
 
@@ -198,7 +199,7 @@
 
     private void broken(String why) {
         if (!over) {
-            LOG.warning("connection to data node " + address + " closed: " + why);
+            LOG.warning("connection to data node " + seat.address() + " closed: " + why);
             close();
             lost();
         }
@@ -227,8 +228,8 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // A reset by the other side is no news to the log; any other is a fault here, which stops here.
-        if (!(cause instanceof java.io.IOException)) {
-            LOG.log(java.util.logging.Level.SEVERE, "connection to data node " + address + " closed", cause);
+        if (!(cause instanceof IOException)) {
+            LOG.log(Level.SEVERE, "connection to data node " + seat.address() + " closed", cause);
         }
         close();
         lost();
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -41,21 +41,24 @@
         loop.after(IDLE_CHECK, this::closeIdle);
     }
 
-    /** A node's endpoint, when it is told first and whenever it may have changed. */
-    public void listed(String node, InetSocketAddress address) {
-        pools.computeIfAbsent(node, Pool::new).address = address;
+    /**
+     * A node's endpoint and its start, when they are told first and whenever they may have changed. Connections
+     * from before a start are dead, though a machine that vanished says nothing of it until they are written to.
+     */
+    public void listed(String node, InetSocketAddress address, long started) {
+        pools.computeIfAbsent(node, Pool::new).seat = new Seat(address, started);
     }
 
     /** Nothing new goes there; what is out there goes on. */
     public void gone(String node) {
         Pool pool = pools.get(node);
         if (pool != null) {
-            pool.address = null;
+            pool.seat = null;
         }
     }
 
     public void allGone() {
-        pools.values().forEach(pool -> pool.address = null);
+        pools.values().forEach(pool -> pool.seat = null);
     }
 
     /** Parts for one node that are sent together make one call, up to the settings' number. */
@@ -87,8 +90,9 @@
 
     public void probe(String node) {
         Probe probe = new Probe(node);
-        probe.timeOut = loop.after(limits.connectTimeOut(), () -> end(probe, End.TIMED_OUT, null));
+        // First the connection: one that never comes up is told as that, and not as a probe without an answer.
         Connection connection = connection(node, List.of());
+        probe.timeOut = loop.after(limits.connectTimeOut(), () -> end(probe, End.TIMED_OUT, null));
         if (connection != null) {
             connection.send(probe, limits.loadProbes() ? Frames.LOAD_PROBE : Frames.PROBE);
         } else {
@@ -106,7 +110,7 @@
 
     private Connection connection(String node, List<Flight> call) {
         Pool pool = pools.get(node);
-        if (pool == null || pool.address == null) {
+        if (pool == null || pool.seat == null) {
             return null;
         }
         Connection free = pool.withRoom(call, limits.partsPerConnection());
@@ -121,10 +125,10 @@
             }
             return null;
         }
-        Connection connection = new Connection(this, pool.address);
+        Connection connection = new Connection(this, pool.seat);
         pool.connections.add(connection);
         connections++;
-        ChannelFuture opening = bootstrap.clone().handler(connection).connect(pool.address);
+        ChannelFuture opening = bootstrap.clone().handler(connection).connect(pool.seat.address());
         connection.opened(opening.channel());
         loop.after(limits.connectTimeOut(), () -> {
             if (!opening.isDone()) {
@@ -162,13 +166,13 @@
         for (Pool pool : new ArrayList<>(pools.values())) {
             for (Connection c : new ArrayList<>(pool.connections)) {
                 c.forgetEnded();
-                boolean retired = !c.address.equals(pool.address);
+                boolean retired = !c.seat.equals(pool.seat);
                 if (c.idle() && (retired || now.since(c.usedAt).longerThan(most))) {
                     c.close();
                     c.lost();
                 }
             }
-            if (pool.address == null && pool.connections.isEmpty()) {
+            if (pool.seat == null && pool.connections.isEmpty()) {
                 pools.remove(pool.node);
             }
         }
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -1,13 +1,13 @@
 package gladewing.nodes;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
-/** The connections to one data node. One that is to an endpoint it has no more only ends what it has. */
+/** The connections to one data node. One to an earlier seat of its only ends what it has. */
 final class Pool {
     final String node;
-    InetSocketAddress address;
+    /** Null once the node is off the list. */
+    Seat seat;
     final List<Connection> connections = new ArrayList<>();
 
     Pool(String node) {
@@ -18,7 +18,7 @@
     Connection withRoom(List<Flight> call, int most) {
         Connection best = null;
         for (Connection c : connections) {
-            if (c.address.equals(address) && c.hasRoom(call, most)
+            if (c.seat.equals(seat) && c.hasRoom(call, most)
                     && (best == null || c.up() && !best.up() || c.up() == best.up() && c.load() < best.load())) {
                 best = c;
             }
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -156,7 +156,7 @@
             if (state == NodeTable.State.GONE) {
                 nodes.gone(t.uid());
             } else {
-                nodes.listed(t.uid(), t.endpoint());
+                nodes.listed(t.uid(), t.endpoint(), t.started());
             }
             Time started = t.started() > 0 ? new Time(t.started() * 1000 - unixOffset) : null;
             lines.add(new NodeTable.Line<>(t.uid(), t.cell(), started, state));
--- a/src/test/java/gladewing/decisions/DecisionsTest.java
+++ b/src/test/java/gladewing/decisions/DecisionsTest.java
@@ -17,29 +17,6 @@
     private Decisions decisions;
     private Time now = new Time(0);
 
-    private final class Asked extends Taken {
-        Asked(String id, int... shards) {
-            super(id, 0, Span.ofMillis(3000), false, parts(shards), new byte[0]);
-        }
-
-        @Override
-        public void finished(boolean whole) { }
-
-        @Override
-        public void dismissed(Span comeBack) { }
-
-        @Override
-        public void givenUp() { }
-    }
-
-    private static List<Taken.Part> parts(int... shards) {
-        List<Taken.Part> parts = new ArrayList<>();
-        for (int shard : shards) {
-            parts.add(new Taken.Part(shard, 1.0 / shards.length, Span.ZERO));
-        }
-        return parts;
-    }
-
     private void told(String what, Orders orders) {
         told.append(what).append('\n');
         for (Orders.Final f : orders.finals) {
@@ -85,14 +62,14 @@
     void aWholeAnswerAndAClientThatLeaves() throws IOException {
         start(Settings.Effect.REPEATABLE);
         turn(10);
-        told("pick 1", decisions.pick(new Asked("1", 0, 1)));
+        told("pick 1", decisions.pick(Trace.asked("1", 0, 0, 1)));
         told("tick", decisions.tick());
         turn(20);
         told("a answers", decisions.report(sent.get(0), End.ANSWERED, Span.ofMillis(20), "x", null));
         told("b answers", decisions.report(sent.get(1), End.ANSWERED, Span.ofMillis(20), "y", null));
         told("tick", decisions.tick());
         turn(10);
-        Taken two = new Asked("2", 0, 1);
+        Taken two = Trace.asked("2", 0, 0, 1);
         told("pick 2", decisions.pick(two));
         told("tick", decisions.tick());
         turn(10);
@@ -102,7 +79,7 @@
         turn(5);
         told("a ends withdrawn", decisions.report(sent.get(2), End.WITHDRAWN, Span.ofMillis(15), null, null));
         told("b answers late", decisions.report(sent.get(3), End.ANSWERED, Span.ofMillis(15), "late", null));
-        told("pick 3", decisions.pick(new Asked("3", 1)));
+        told("pick 3", decisions.pick(Trace.asked("3", 0, 1)));
         told("tick", decisions.tick());
         assertEquals(Trace.kept("facade.txt"), told.toString());
     }
@@ -112,14 +89,14 @@
     void onceOnlyByHowFarItCame() throws IOException {
         start(Settings.Effect.ONCE_ONLY);
         turn(10);
-        told("pick 1", decisions.pick(new Asked("1", 0)));
+        told("pick 1", decisions.pick(Trace.asked("1", 0, 0)));
         told("tick", decisions.tick());
         turn(20);
         told("not written", decisions.report(sent.get(0), End.NOT_WRITTEN, Span.ofMillis(20), null, null));
         told("tick", decisions.tick());
         turn(1000);
         told("list without b, with c", decisions.report(true, List.of(up("a", 0), up("c", 1))));
-        told("pick 2", decisions.pick(new Asked("2", 1)));
+        told("pick 2", decisions.pick(Trace.asked("2", 0, 1)));
         told("tick", decisions.tick());
         turn(20);
         told("broken", decisions.report(sent.get(sent.size() - 1), End.BROKEN, Span.ofMillis(20), null, null));
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -39,29 +39,6 @@
     private final StringBuilder told = new StringBuilder();
     private Nodes nodes;
 
-    private static final class Asked extends Taken {
-        Asked(String id, int textBytes, int... shards) {
-            super(id, 0, LONG, false, parts(shards), new byte[textBytes]);
-        }
-
-        private static List<Part> parts(int... shards) {
-            List<Part> parts = new ArrayList<>();
-            for (int shard : shards) {
-                parts.add(new Part(shard, 1, Span.ZERO));
-            }
-            return parts;
-        }
-
-        @Override
-        public void finished(boolean whole) { }
-
-        @Override
-        public void dismissed(Span comeBack) { }
-
-        @Override
-        public void givenUp() { }
-    }
-
     @Override
     public void begin(Time now) { }
 
@@ -93,7 +70,11 @@
     }
 
     private void list(String node, int port) throws Exception {
-        run(() -> nodes.listed(node, new InetSocketAddress("127.0.0.1", port)));
+        list(node, port, 0);
+    }
+
+    private void list(String node, int port, long started) throws Exception {
+        run(() -> nodes.listed(node, new InetSocketAddress("127.0.0.1", port), started));
     }
 
     private static Transmission to(String node, Taken of, int part, Span timeOut) {
@@ -125,7 +106,7 @@
         try (NodeStandIn node = new NodeStandIn()) {
             start(10, true, LONG);
             list("n", node.port());
-            Taken one = new Asked("1", 2, 0);
+            Taken one = Trace.asked("1", 2, 0);
             Transmission first = to("n", one, 0, LONG);
             transmit(first);
             NodeStandIn.Call call = node.next();
@@ -143,13 +124,45 @@
         }
     }
 
+    /** A machine that vanished and came back says nothing on its old connections: a new start ends their use. */
+    @Test
+    void connectionsFromBeforeARestartAreNotUsed() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, true, LONG);
+            list("n", node.port(), 0);
+            transmit(to("n", Trace.asked("1", 2, 0), 0, LONG));
+            NodeStandIn.Call old = node.next();
+            list("n", node.port(), 1_700_000_000_000L);
+            transmit(to("n", Trace.asked("2", 2, 0), 0, LONG));
+            told("after the start, connection", node.next().connection);
+            old.answer("1.0", "ok", "what was out still ends");
+            nextEnd();
+            told("then the old one is closed", old.ended());
+            assertEquals(Trace.kept("nodes-restart.txt"), told.toString());
+        }
+    }
+
+    /** Nobody takes the connection up: that is no probe without an answer, which a node that is there may owe. */
+    @Test
+    void aProbeWhoseConnectionNeverComesUp() throws Exception {
+        start(10, true, LONG);
+        try (ServerSocket deaf = new ServerSocket(0, 1); Socket one = new Socket("127.0.0.1", deaf.getLocalPort());
+                Socket two = new Socket("127.0.0.1", deaf.getLocalPort())) {
+            assertTrue(one.isConnected() && two.isConnected(), "the queue of the listener is full");
+            list("deaf", deaf.getLocalPort());
+            run(() -> nodes.probe("deaf"));
+            nextEnd();
+        }
+        assertEquals("end: probe of deaf NOT_WRITTEN\n", told.toString());
+    }
+
     /** Where nothing may be withdrawn, a part that timed out keeps its place until the node has answered it. */
     @Test
     void placesOnAConnection() throws Exception {
         try (NodeStandIn node = new NodeStandIn()) {
             start(10, false, LONG);
             list("n", node.port());
-            Taken one = new Asked("1", 2, 0, 1, 2, 3, 4);
+            Taken one = Trace.asked("1", 2, 0, 1, 2, 3, 4);
             transmit(to("n", one, 0, Span.ofMillis(400)), to("n", one, 1, LONG), to("n", one, 2, LONG),
                     to("n", one, 3, LONG));
             NodeStandIn.Call first = node.next();
@@ -162,9 +175,9 @@
             first.answer("1.0", "ok", "late");
             first.answer("1.1", "ok", "in time");
             nextEnd();
-            transmit(to("n", new Asked("2", 2, 0), 0, LONG), to("n", new Asked("3", 2, 0), 0, LONG));
+            transmit(to("n", Trace.asked("2", 2, 0), 0, LONG), to("n", Trace.asked("3", 2, 0), 0, LONG));
             told("two more, on connection", node.next().connection);
-            transmit(to("n", new Asked("4", 2, 0), 0, LONG), to("n", new Asked("5", 2, 0), 0, LONG));
+            transmit(to("n", Trace.asked("4", 2, 0), 0, LONG), to("n", Trace.asked("5", 2, 0), 0, LONG));
             told("two more, where there is room again, connection", node.next().connection);
             run(() -> nodes.probe("n"));
             NodeStandIn.Call probe = node.next();
@@ -182,13 +195,13 @@
             refusing = closed.getLocalPort();
         }
         list("refuses", refusing);
-        transmit(to("refuses", new Asked("1", 2, 0), 0, LONG));
+        transmit(to("refuses", Trace.asked("1", 2, 0), 0, LONG));
         nextEnd();
-        transmit(to("unknown", new Asked("2", 2, 0), 0, LONG));
+        transmit(to("unknown", Trace.asked("2", 2, 0), 0, LONG));
         nextEnd();
         try (ServerSocket deaf = new ServerSocket(0)) {
             list("deaf", deaf.getLocalPort());
-            Taken large = new Asked("3", 32 * 1024 * 1024, 0);
+            Taken large = Trace.asked("3", 32 * 1024 * 1024, 0);
             transmit(to("deaf", large, 0, LONG));
             Socket socket = deaf.accept();
             assertTrue(socket.getInputStream().read() >= 0, "some of the frame has come");
@@ -197,7 +210,7 @@
         }
         try (NodeStandIn node = new NodeStandIn()) {
             list("n", node.port());
-            transmit(to("n", new Asked("4", 2, 0), 0, LONG), to("n", new Asked("5", 2, 0), 0, LONG));
+            transmit(to("n", Trace.asked("4", 2, 0), 0, LONG), to("n", Trace.asked("5", 2, 0), 0, LONG));
             node.next().close();
             nextEnd();
             nextEnd();
@@ -211,17 +224,17 @@
             start(1, true, Span.ofMillis(2200));
             list("a", a.port());
             list("b", b.port());
-            transmit(to("a", new Asked("1", 2, 0), 0, LONG));
+            transmit(to("a", Trace.asked("1", 2, 0), 0, LONG));
             NodeStandIn.Call toA = a.next();
-            transmit(to("b", new Asked("2", 2, 0), 0, LONG));
+            transmit(to("b", Trace.asked("2", 2, 0), 0, LONG));
             nextEnd();
             toA.answer("1.0", "ok", "one");
             nextEnd();
-            transmit(to("b", new Asked("3", 2, 0), 0, LONG));
+            transmit(to("b", Trace.asked("3", 2, 0), 0, LONG));
             b.next().answer("3.0", "ok", "three");
             nextEnd();
             told("a's connection gave way", toA.ended());
-            transmit(to("b", new Asked("4", 2, 0), 0, LONG));
+            transmit(to("b", Trace.asked("4", 2, 0), 0, LONG));
             NodeStandIn.Call toB = b.next();
             toB.answer("4.0", "ok", "four");
             nextEnd();
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import gladewing.decisions.Taken;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -166,4 +167,22 @@
     public void wakeAfter(Span span) {
         wakeAt = now.plus(span);
     }
+
+    /** A multiget whose client hears nothing; its parts weigh the same. */
+    public static Taken asked(String id, int textBytes, int... shards) {
+        List<Taken.Part> parts = new ArrayList<>();
+        for (int shard : shards) {
+            parts.add(new Taken.Part(shard, 1.0 / shards.length, Span.ZERO));
+        }
+        return new Taken(id, 0, Span.ofMillis(3000), false, parts, new byte[textBytes]) {
+            @Override
+            public void finished(boolean whole) { }
+
+            @Override
+            public void dismissed(Span comeBack) { }
+
+            @Override
+            public void givenUp() { }
+        };
+    }
 }
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -494,6 +494,10 @@
             told.append(raw).append(" -> ").append(request(raw)).append('\n');
         }
         assertTrue(a.silent() && b.silent());
+        Client waits = new Client().send("POST /sheet HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        byte[] goOn = waits.socket.getInputStream().readNBytes("HTTP/1.1 100 Continue\r\n\r\n".length());
+        assertEquals("HTTP/1.1 100 Continue\r\n\r\n", new String(goOn, StandardCharsets.ISO_8859_1));
+        assertEquals("400 close", waits.send("{}").response());
         Client client = new Client().ask("report", "r9", 0);
         a.next().answer("r9.0", "ok", "still there");
         told.append(client.response()).append('\n');
