--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -60,7 +60,8 @@
     }
 
     private void next() {
-        while (open == null && !over) {
+        // A client that does not read its answers is not asked for more.
+        while (open == null && !over && channel.isWritable()) {
             MessageReader.Progress progress = message.read(in);
             if (progress == MessageReader.Progress.MORE) {
                 tellToGoOn();
@@ -87,6 +88,11 @@
         channel.config().setAutoRead(in.size() < MessageReader.MOST_BYTES / 2);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        clients.loop.later(this::next);
+    }
+
     private void tellToGoOn() {
         if (message.waitsToGoOn() && !toldToGoOn) {
             toldToGoOn = true;
--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -38,6 +38,8 @@
     private boolean up;
     private boolean over;
     private int live;
+    private ChannelFuture lastFrame;
+    private Time writtenAt;
     Time usedAt;
 
     Connection(Nodes nodes, Seat seat) {
@@ -67,9 +69,14 @@
         return out.size() + probes.size();
     }
 
+    /** What an earlier pass has written is still in the program: the node does not read. */
+    private boolean stuck() {
+        return lastFrame != null && !lastFrame.isDone() && writtenAt.before(nodes.loop.pass());
+    }
+
     /** Whether these can be told apart from all that is out here, find a place, and would be read soon. */
     boolean hasRoom(List<Flight> call, int most) {
-        return !over && (!up || channel.isWritable()) && load() + call.size() <= most
+        return !over && !stuck() && load() + call.size() <= most
                 && call.stream().noneMatch(f -> out.containsKey(f.id) || withdrawn.containsKey(f.id));
     }
 
@@ -95,20 +102,27 @@
         }
     }
 
-    /** Parts whose end is known by now, as they waited for the connection too long, are left out. */
+    /**
+     * What waited for the connection may be too late: a part whose end is known is left out, and nothing of a
+     * multiget is sent once that has its final answer, also where nothing could be withdrawn.
+     */
     private void writeCall(List<Flight> call) {
-        List<Frames.CallPart> parts = new ArrayList<>();
-        call.stream().filter(f -> !f.over).forEach(f -> parts.add(f.callPart()));
-        if (!parts.isEmpty()) {
+        Time now = nodes.loop.pass();
+        call.stream().filter(f -> f.transmission.of.ended()).forEach(nodes::notSent);
+        List<Flight> left = call.stream().filter(f -> !f.over).toList();
+        if (!left.isEmpty()) {
+            List<Frames.CallPart> parts = left.stream().map(f -> f.callPart(now)).toList();
             ChannelFuture written = write(Frames.call(channel.alloc(), parts));
-            call.stream().filter(f -> !f.over).forEach(f -> f.frame = written);
+            left.forEach(f -> f.frame = written);
         }
     }
 
     private ChannelFuture write(ByteBuf frame) {
         usedAt = nodes.loop.pass();
+        writtenAt = usedAt;
         nodes.loop.flushLater(channel);
-        return channel.write(frame);
+        lastFrame = channel.write(frame);
+        return lastFrame;
     }
 
     /** Nobody waits for it any more: the node is told, where anything was sent and that is allowed. */
--- a/src/main/java/gladewing/nodes/Flight.java
+++ b/src/main/java/gladewing/nodes/Flight.java
@@ -30,8 +30,10 @@
         return frame != null && frame.isSuccess() ? End.BROKEN : End.NOT_WRITTEN;
     }
 
-    Frames.CallPart callPart() {
+    /** What is left of its time tells how long it is still waited for. */
+    Frames.CallPart callPart(Time now) {
+        double left = transmission.timeOut.millis() - now.since(sentAt).millis();
         return new Frames.CallPart(id, transmission.of.parts.get(transmission.part).shard(),
-                Math.max(1, (long) transmission.timeOut.millis()), transmission.of.text);
+                Math.max(1, (long) left), transmission.of.text);
     }
 }
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -195,6 +195,10 @@
         end(flight, end, end == End.ANSWERED ? answer.value() : null, answer.load());
     }
 
+    void notSent(Flight flight) {
+        end(flight, End.NOT_SENT, null, null);
+    }
+
     void lost(Flight flight) {
         flight.on = null;
         end(flight, Flight.broken(flight.frame), null, null);
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gladewing.decisions.Decisions;
 import gladewing.decisions.End;
 import gladewing.decisions.Taken;
 import gladewing.decisions.Transmission;
@@ -156,6 +157,28 @@
         assertEquals("end: probe of deaf NOT_WRITTEN\n", told.toString());
     }
 
+    /** Rule 1: what waits for its connection is not sent once its multiget has ended, though it can't be withdrawn. */
+    @Test
+    void nothingIsSentAfterTheFinalAnswer() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, false, LONG);
+            list("n", node.port());
+            Taken ends = Trace.asked("1", 2, 0);
+            Taken stays = Trace.asked("2", 2, 0);
+            Decisions decisions = new Decisions(new Trace().settings(), 7, new Time(0));
+            run(() -> {
+                decisions.begin(new Time(0));
+                decisions.pick(ends);
+                nodes.transmit(List.of(to("n", ends, 0, LONG), to("n", stays, 0, LONG)));
+                decisions.report(ends);
+            });
+            nextEnd();
+            NodeStandIn.Call call = node.next();
+            told("sent", call);
+            assertEquals("end: 1.0 NOT_SENT\nsent: Q 2.0 0 2|\0\0\n", told.toString());
+        }
+    }
+
     /** Where nothing may be withdrawn, a part that timed out keeps its place until the node has answered it. */
     @Test
     void placesOnAConnection() throws Exception {
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -34,15 +34,18 @@
     private Time wakeAt;
 
     Trace start() {
+        router = new QueryRouter(settings(), 7, this, now);
+        return this;
+    }
+
+    public Settings settings() {
         Settings.Product product = new Settings.Product(Span.ofMillis(1000), 0, Span.ofMillis(3000), 1,
                 lateRevenue, effect, Span.ofMillis(600), leastShare, 1, 0);
-        Settings settings = new Settings(1, Span.ofMillis(5),
+        return new Settings(1, Span.ofMillis(5),
                 new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
                         Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
                 new Settings.Allowed(probes, true, copies, perPart, open, Span.ZERO),
                 new Settings.Shards(cells, reach), List.of(product), List.of(), asked, false, 1, 0);
-        router = new QueryRouter(settings, 7, this, now);
-        return this;
     }
 
     /** Nodes in the order of their cells, the first being node 0. */
