--- a/src/main/java/gladewing/Main.java
+++ b/src/main/java/gladewing/Main.java
@@ -15,8 +15,8 @@
             case "serve" -> System.exit(Program.run(System.getenv("RELAY_CONFIG"), System.err));
             default -> {
                 System.err.println("usage: java -jar gladewing.jar benchlink | serve");
-                System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output");
-                System.err.println("  serve       be a router on sockets; RELAY_CONFIG names its configuration");
+                System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output\n"
+                        + "  serve       be a router on sockets; RELAY_CONFIG names its configuration");
                 System.exit(2);
             }
         }
--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -112,7 +112,8 @@
         over = !keep;
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         ByteBuf out = channel.alloc().buffer(256 + bytes.length);
-        out.writeCharSequence(Responses.head(status, headers, bytes.length, keep), StandardCharsets.ISO_8859_1);
+        String head = Responses.head(status, headers, bytes.length, keep);
+        out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
         ChannelFuture written = channel.write(out.writeBytes(bytes));
         clients.loop.flushLater(channel);
         if (over) {
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -33,7 +33,7 @@
         this.site = site;
     }
 
-    /** 0 for a multiget, READY where it is asked whether this router is ready, else the status of a refusal. */
+    /** 0 for a multiget, READY where it is asked whether this router is ready, else a status that refuses. */
     int read(MessageReader message) {
         String[] line = message.startLine().split(" ", -1);
         if (line.length != 3 || !line[2].equals("HTTP/1.1") && !line[2].equals("HTTP/1.0")
@@ -96,8 +96,8 @@
     }
 
     private static Span millis(String told) {
-        if (told == null || told.isEmpty() || told.length() > 9 || !told.chars().allMatch(c -> c >= '0' && c <= '9')
-                || Integer.parseInt(told) == 0) {
+        if (told == null || told.isEmpty() || told.length() > 9
+                || !told.chars().allMatch(c -> c >= '0' && c <= '9') || Integer.parseInt(told) == 0) {
             throw new Unusable("no time that can be used");
         }
         return Span.ofMillis(Integer.parseInt(told));
--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -14,8 +14,8 @@
 import java.util.List;
 
 /** All that one real router is told at its start. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Fields known, Settings settings, List<String> products, int shards, Connections connections) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Fields known, Settings settings, List<String> products, int shards, Connections connections) {
 
     /** What the settings say of connections to data nodes. */
     public record Connections(int partsPerConnection, int partsPerCall, Span connectTimeOut, Span idle,
@@ -45,7 +45,8 @@
         }
         Connections connections = new Connections((int) allowed.whole("MaxStreams"),
                 (int) shards.whole("PerCall", 1), Span.ofMillis(allowed.number("ConnectTimeout")),
-                Span.ofMillis(allowed.number("ConnIdle")), !facts.object("Report").text("How").equals("none"));
+                Span.ofMillis(allowed.number("ConnIdle")),
+                !facts.object("Report").text("How").equals("none"));
         return new Config(config.text("name"), Endpoint.read(config.text("listen")),
                 Endpoint.read(config.text("discovery")), seed(config.text("seed")),
                 (int) config.object("limits").whole("sockets"), config.object("known"), settings,
--- a/src/main/java/gladewing/config/Endpoint.java
+++ b/src/main/java/gladewing/config/Endpoint.java
@@ -12,7 +12,8 @@
 
     public static InetSocketAddress read(String text) {
         int colon = text.lastIndexOf(':');
-        byte[] address = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        String host = text.substring(0, Math.max(0, colon));
+        byte[] address = NetUtil.createByteArrayFromIpAddressString(host);
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (address != null && port >= 0 && port < 65536) {
--- a/src/main/java/gladewing/discovery/Call.java
+++ b/src/main/java/gladewing/discovery/Call.java
@@ -3,6 +3,7 @@
 import gladewing.buffer.ConnectionBuffer;
 import gladewing.http.MessageReader;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -37,8 +38,8 @@
     }
 
     private void send() {
-        channel.writeAndFlush(channel.alloc().buffer().writeBytes(("GET " + path + " HTTP/1.1\r\nHost: " + host
-                + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+        String request = "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
+        channel.writeAndFlush(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
     }
 
     void close() {
--- a/src/main/java/gladewing/frames/FrameReader.java
+++ b/src/main/java/gladewing/frames/FrameReader.java
@@ -3,7 +3,7 @@
 import gladewing.buffer.ConnectionBuffer;
 import java.nio.charset.StandardCharsets;
 
-/** Takes whole frames out of a connection's buffer: a length (least significant first), a letter, the rest. */
+/** Takes whole frames out of a connection's buffer: a length (least significant first), a letter, a rest. */
 public final class FrameReader {
     /** Far more than an answer holds; a longer length is a broken or hostile node. */
     public static final int LONGEST = 128 * 1024;
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -22,7 +22,9 @@
 
     public enum Progress { MORE, MESSAGE, UNUSABLE }
 
-    private enum State { START_LINE, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, COMPLETE, UNUSABLE }
+    private enum State {
+        START_LINE, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, COMPLETE, UNUSABLE
+    }
 
     private static final byte[] NOTHING = new byte[0];
 
@@ -60,7 +62,8 @@
 
     /** Whether the other side holds a body back until it is told to go on. */
     public boolean waitsToGoOn() {
-        return (state == State.BODY || state == State.CHUNK_SIZE) && "100-continue".equalsIgnoreCase(header("expect"));
+        return (state == State.BODY || state == State.CHUNK_SIZE)
+                && "100-continue".equalsIgnoreCase(header("expect"));
     }
 
     /** Whether a message has begun and is not complete. */
--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -30,7 +30,7 @@
     private final FrameReader frames = new FrameReader();
     /** By part id: all whose end the node owes, also those that timed out where nothing may be withdrawn. */
     private final Map<String, Flight> out = new LinkedHashMap<>();
-    /** Withdrawn: the node owes nothing, but an answer may have crossed, and must not pass for a later one. */
+    /** Withdrawn: nothing is owed, but an answer may have crossed, and must not pass for a later one. */
     private final Map<String, Flight> withdrawn = new LinkedHashMap<>();
     private final Deque<Probe> probes = new ArrayDeque<>();
     private final List<Runnable> waiting = new ArrayList<>();
@@ -56,10 +56,6 @@
         return up;
     }
 
-    boolean over() {
-        return over;
-    }
-
     /** Nothing is waited for on it. */
     boolean idle() {
         return live == 0 && probes.stream().allMatch(p -> p.over);
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -43,7 +43,7 @@
 
     /**
      * A node's endpoint and its start, when they are told first and whenever they may have changed. Connections
-     * from before a start are dead, though a machine that vanished says nothing of it until they are written to.
+     * from before a start are dead, though a machine that vanished says so only when they are written to.
      */
     public void listed(String node, InetSocketAddress address, long started) {
         pools.computeIfAbsent(node, Pool::new).seat = new Seat(address, started);
@@ -90,7 +90,7 @@
 
     public void probe(String node) {
         Probe probe = new Probe(node);
-        // First the connection: one that never comes up is told as that, and not as a probe without an answer.
+        // First the connection: that one never comes up is told as that, not as a probe without an answer.
         Connection connection = connection(node, List.of());
         probe.timeOut = loop.after(limits.connectTimeOut(), () -> end(probe, End.TIMED_OUT, null));
         if (connection != null) {
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -19,7 +19,8 @@
         Connection best = null;
         for (Connection c : connections) {
             if (c.seat.equals(seat) && c.hasRoom(call, most)
-                    && (best == null || c.up() && !best.up() || c.up() == best.up() && c.load() < best.load())) {
+                    && (best == null || c.up() && !best.up()
+                    || c.up() == best.up() && c.load() < best.load())) {
                 best = c;
             }
         }
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -26,7 +26,8 @@
             Serve serve = thread.submit(() -> new Serve(thread, config)).get();
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
-                throw new Unusable("can't listen on " + config.listen() + ": " + listening.cause().getMessage());
+                throw new Unusable("can't listen on " + config.listen() + ": "
+                        + listening.cause().getMessage());
             }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending()), "ending"));
             group.terminationFuture().await();
