--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -42,6 +42,9 @@
             if (product.secondStep() > 0) {
                 throw new Unusable("config: the protocol on sockets has no second step");
             }
+            if (product.effect() == Settings.Effect.TAGGED) {
+                throw new Unusable("config: the protocol on sockets does not say how a product's tag is passed on");
+            }
         }
         Connections connections = new Connections((int) allowed.whole("MaxStreams"),
                 (int) shards.whole("PerCall", 1), Span.ofMillis(allowed.number("ConnectTimeout")),
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -595,7 +595,8 @@
         String good = Trace.kept("serve-config.json").replace("\"KNOWN\"", "{\"rev\":1,\"all\":true,\"targets\":[]}")
                 .replace("DISCOVERY", "127.0.0.1:9");
         String[] texts = {null, "{", good.replace("LISTEN", "name:5000"), good.replace("LISTEN", "127.0.0.1:1").replace("\"Tick\"", "\"T\""),
-            good.replace("LISTEN", "192.0.2.1:5000")};
+            good.replace("LISTEN", "127.0.0.1:1").replace("non_idempotent", "idempotency_key"),
+            good.replace("LISTEN", "127.0.0.1:1").replace("[0,0,0]", "[0,2,0]"), good.replace("LISTEN", "192.0.2.1:5000")};
         for (String text : texts) {
             Files.deleteIfExists(config);
             if (text != null) {
