--- a/src/main/java/gladewing/clients/Exchange.java
+++ b/src/main/java/gladewing/clients/Exchange.java
@@ -13,9 +13,9 @@
 
     private final ClientConnection from;
 
-    Exchange(ClientConnection from, String id, int product, Span left, boolean again, List<Part> parts,
-            byte[] text) {
-        super(id, product, left, again, parts, text);
+    Exchange(ClientConnection from, String id, int product, int tenant, Span left, boolean again,
+            List<Part> parts, byte[] text) {
+        super(id, product, tenant, left, again, parts, text);
         this.from = from;
     }
 
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -24,6 +24,7 @@
     private final Site site;
     private String id;
     private int product;
+    private int tenant;
     private Span left;
     private boolean again;
     private List<Taken.Part> parts;
@@ -71,6 +72,9 @@
         if (told != null && site.products().indexOf(told) != product) {
             throw new Unusable("two products");
         }
+        String owner = message.header("x-tenant-id");
+        int named = owner == null ? -1 : site.tenants().indexOf(owner);
+        tenant = named < 0 ? site.tenants().size() : named;
         left = millis(message.header("x-timeout-ms"));
         again = "1".equals(message.header("x-retried"));
         Fields body = Json.fields("body", message.body());
@@ -106,6 +110,6 @@
     /** The multiget that was read last; its client's time has run while it waited to be read. */
     Exchange exchange(ClientConnection from, Span waited) {
         Span now = new Span(Math.max(1, left.micros() - waited.micros()));
-        return new Exchange(from, id, product, now, again, parts, text);
+        return new Exchange(from, id, product, tenant, now, again, parts, text);
     }
 }
--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -15,7 +15,8 @@
 
 /** All that one real router is told at its start. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, Fields known, Settings settings, List<String> products, int shards, Connections connections) {
+        int sockets, Fields known, Settings settings, List<String> products, List<String> tenants, int shards,
+        Connections connections) {
 
     /** What the settings say of connections to data nodes. */
     public record Connections(int partsPerConnection, int partsPerCall, Span connectTimeOut, Span idle,
@@ -33,17 +34,13 @@
         Fields facts = config.object("settings");
         Fields allowed = facts.object("Permissions");
         Fields shards = facts.object("Specifics");
-        List<String> products = new ArrayList<>();
-        for (Fields row : facts.objects("RequestClasses")) {
-            products.add(row.text("Name"));
-        }
         Settings settings = Facts.settings(facts);
         for (Settings.Product product : settings.products()) {
             if (product.secondStep() > 0) {
                 throw new Unusable("config: the protocol on sockets has no second step");
             }
             if (product.effect() == Settings.Effect.TAGGED) {
-                throw new Unusable("config: the protocol on sockets does not say how a product's tag is passed on");
+                throw new Unusable("config: the protocol on sockets does not say how a tag is passed on");
             }
         }
         Connections connections = new Connections((int) allowed.whole("MaxStreams"),
@@ -53,7 +50,17 @@
         return new Config(config.text("name"), Endpoint.read(config.text("listen")),
                 Endpoint.read(config.text("discovery")), seed(config.text("seed")),
                 (int) config.object("limits").whole("sockets"), config.object("known"), settings,
-                List.copyOf(products), (int) shards.whole("Ranges"), connections);
+                names(facts, "RequestClasses"),
+                facts.has("Tenants") ? names(facts, "Tenants") : List.of(), (int) shards.whole("Ranges"),
+                connections);
+    }
+
+    private static List<String> names(Fields facts, String table) {
+        List<String> names = new ArrayList<>();
+        for (Fields row : facts.objects(table)) {
+            names.add(row.text("Name"));
+        }
+        return names;
     }
 
     private static long seed(String hex) {
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -45,7 +45,7 @@
         while (sent.size() < open.size()) {
             sent.add(new ArrayList<>());
         }
-        taken.multiget = router.take(taken.ref, taken.product, 0, taken.left, taken.again);
+        taken.multiget = router.take(taken.ref, taken.product, taken.tenant, taken.left, taken.again);
         for (Taken.Part part : taken.parts) {
             taken.multiget.part(part.shard(), part.weight(), part.work().millis());
         }
--- a/src/main/java/gladewing/decisions/Taken.java
+++ b/src/main/java/gladewing/decisions/Taken.java
@@ -14,6 +14,8 @@
 
     public final String id;
     public final int product;
+    /** Its index in the settings, or how many there are where none is named that is known. */
+    public final int tenant;
     public final Span left;
     public final boolean again;
     public final List<Part> parts;
@@ -25,9 +27,11 @@
     boolean ended;
     int out;
 
-    protected Taken(String id, int product, Span left, boolean again, List<Part> parts, byte[] text) {
+    protected Taken(String id, int product, int tenant, Span left, boolean again, List<Part> parts,
+            byte[] text) {
         this.id = id;
         this.product = product;
+        this.tenant = tenant;
         this.left = left;
         this.again = again;
         this.parts = parts;
--- a/src/main/java/gladewing/frames/LoadReport.java
+++ b/src/main/java/gladewing/frames/LoadReport.java
@@ -13,7 +13,7 @@
 
     private LoadReport() { }
 
-    /** Null for no report and for one that can't be used, which counts as none. Unknown names don't matter. */
+    /** Null for no report and for one that can't be used, which counts as none. Unknown names are no harm. */
     public static Load read(String report) {
         double[] values = new double[NAMES.size()];
         Arrays.fill(values, Double.NaN);
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -42,7 +42,7 @@
     }
 
     /**
-     * A node's endpoint and its start, when they are told first and whenever they may have changed. Connections
+     * A node's endpoint and its start, when they are told first and when they may have changed. Connections
      * from before a start are dead, though a machine that vanished says so only when they are written to.
      */
     public void listed(String node, InetSocketAddress address, long started) {
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -64,7 +64,8 @@
         nodes = new Nodes(loop, bootstrap, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
                 told.connectTimeOut(), told.idle(), shared / 2, config.settings().allowed().withdrawals(),
                 told.loadProbes()), this);
-        clients = new Clients(loop, new Site(config.products(), config.shards()), shared - shared / 2, this);
+        Site site = new Site(config.products(), config.tenants(), config.shards());
+        clients = new Clients(loop, site, shared - shared / 2, this);
         watch = new Watch(loop, bootstrap, config.discovery(), config.settings().shards().cells(), this);
         Span longest = Span.ZERO;
         for (Settings.Product product : config.settings().products()) {
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -177,7 +177,7 @@
         for (int shard : shards) {
             parts.add(new Taken.Part(shard, 1.0 / shards.length, Span.ZERO));
         }
-        return new Taken(id, 0, Span.ofMillis(3000), false, parts, new byte[textBytes]) {
+        return new Taken(id, 0, 0, Span.ofMillis(3000), false, parts, new byte[textBytes]) {
             @Override
             public void finished(boolean whole) { }
 
