Re-read: one search for the idlest node connection, one way to close it; a status named once

Same behaviour. The pool and the connections' owner each searched for the idle connection that was unused longest, and three places closed a connection by the same two lines; 503 stood in two files.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -68,11 +68,9 @@
                 break;
             }
             toldToGoOn = false;
-            keep = progress == MessageReader.Progress.MESSAGE && message.keepsAlive();
-            int status = message.status();
-            if (progress == MessageReader.Progress.MESSAGE) {
-                status = clients.reader.read(message);
-            }
+            boolean usable = progress == MessageReader.Progress.MESSAGE;
+            keep = usable && message.keepsAlive();
+            int status = usable ? clients.reader.read(message) : message.status();
             if (status == 0) {
                 open = clients.reader.exchange(this, clients.loop.late());
                 clients.asks.asked(open);
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -17,11 +17,11 @@
 public final class Clients {
     private static final Logger LOG = Logger.getLogger(Clients.class.getName());
 
+    private static final Span CHECK = Span.ofMillis(1000);
+
     final Loop loop;
     final Asks asks;
     final RequestReader reader;
-    private static final Span CHECK = Span.ofMillis(1000);
-
     private final int most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
--- a/src/main/java/gladewing/clients/Exchange.java
+++ b/src/main/java/gladewing/clients/Exchange.java
@@ -8,7 +8,6 @@
 /** A multiget of a client: its final answer becomes the response on the client's connection. */
 final class Exchange extends Taken {
     private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
     private static final int TIMED_OUT = 504;
 
     private final ClientConnection from;
@@ -37,7 +36,7 @@
 
     @Override
     public void dismissed(Span comeBack) {
-        from.answer(UNAVAILABLE, comeBack.micros() > 0
+        from.answer(Responses.UNAVAILABLE, comeBack.micros() > 0
                 ? "Retry-After: " + comeBack.millis() / 1000 + "\r\n" : "", "");
     }
 
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -13,10 +13,12 @@
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.logging.Logger;
 
 /** Carries transmissions and probes to data nodes, keeps their time-outs, and tells how each ended. */
@@ -132,8 +134,7 @@
         connection.opened(opening.channel());
         loop.after(limits.connectTimeOut(), () -> {
             if (!opening.isDone()) {
-                connection.close();
-                connection.lost();
+                close(connection);
             }
         });
         opening.addListener(done -> {
@@ -145,18 +146,15 @@
     }
 
     private boolean closeIdlest() {
-        Connection idlest = null;
-        for (Pool pool : pools.values()) {
-            Connection c = pool.idlest();
-            if (c != null && (idlest == null || c.usedAt.before(idlest.usedAt))) {
-                idlest = c;
-            }
-        }
-        if (idlest != null) {
-            idlest.close();
-            idlest.lost();
-        }
-        return idlest != null;
+        Optional<Connection> idlest = pools.values().stream().flatMap(pool -> pool.connections.stream())
+                .filter(Connection::idle).min(Comparator.comparingLong(c -> c.usedAt.micros()));
+        idlest.ifPresent(this::close);
+        return idlest.isPresent();
+    }
+
+    private void close(Connection connection) {
+        connection.close();
+        connection.lost();
     }
 
     /** Before the node would: a part written to a connection that it closes is lost, and may have run. */
@@ -168,8 +166,7 @@
                 c.forgetEnded();
                 boolean retired = !c.seat.equals(pool.seat);
                 if (c.idle() && (retired || now.since(c.usedAt).longerThan(most))) {
-                    c.close();
-                    c.lost();
+                    close(c);
                 }
             }
             if (pool.seat == null && pool.connections.isEmpty()) {
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -26,15 +26,4 @@
         }
         return best;
     }
-
-    /** The idle connection that has not been used for longest, or null. */
-    Connection idlest() {
-        Connection idlest = null;
-        for (Connection c : connections) {
-            if (c.idle() && (idlest == null || c.usedAt.before(idlest.usedAt))) {
-                idlest = c;
-            }
-        }
-        return idlest;
-    }
 }
