SIGHUP reads the configuration anew and moves the watch on discovery

Looked at: the JVM's default on SIGHUP is an orderly end; serve/Program.java had no handler, and Watch held its address for good. The handler reads the file on the signal's own thread, one at a time; Watch.move drops the open call and its timers and asks the new place for the whole list; nodes that it also names keep their connections. Test: aNewConfigurationOnASignal (the program ends on the signal without the handler).

--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -30,6 +30,23 @@
         }
     }
 
+    /** What another configuration has otherwise that a running program can't take on; empty for nothing. */
+    public List<String> fixed(Config other) {
+        List<String> fixed = new ArrayList<>();
+        if (!listen.equals(other.listen)) {
+            fixed.add("listen");
+        }
+        if (sockets != other.sockets) {
+            fixed.add("limits");
+        }
+        if (!settings.equals(other.settings) || !products.equals(other.products)
+                || !tenants.equals(other.tenants) || shards != other.shards
+                || !connections.equals(other.connections)) {
+            fixed.add("settings");
+        }
+        return fixed;
+    }
+
     private static Config read(Fields config) {
         Fields facts = config.object("settings");
         Fields allowed = facts.object("Permissions");
--- a/src/main/java/gladewing/discovery/Watch.java
+++ b/src/main/java/gladewing/discovery/Watch.java
@@ -24,11 +24,12 @@
 
     final Loop loop;
     private final Bootstrap bootstrap;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final int cells;
     private final Told told;
     private Call call;
-    private Timer timeOut;
+    /** The time-out of the call that is open, or else what will make the next one. */
+    private Timer timer;
     /** Of the list that is held; below zero while the whole list must be asked for. */
     private long revision = -1;
     private boolean failing;
@@ -45,6 +46,22 @@
         ask();
     }
 
+    /**
+     * Asks elsewhere from now on, first for the whole list: revisions of one place tell nothing at another.
+     * What still comes from the earlier place finds that its call is not the open one, and changes nothing.
+     */
+    public void move(InetSocketAddress to) {
+        address = to;
+        revision = -1;
+        timer.cancel();
+        if (call != null) {
+            Call earlier = call;
+            call = null;
+            earlier.close();
+        }
+        ask();
+    }
+
     private void ask() {
         if (call == null) {
             Call fresh = new Call(this, address.getHostString() + ":" + address.getPort());
@@ -61,7 +78,7 @@
         boolean whole = revision < 0;
         asked.ask(whole ? PATH : PATH + "?after=" + revision + "&wait_ms=" + WAIT_MILLIS);
         Span most = whole ? PATIENCE : PATIENCE.plus(Span.ofMillis(WAIT_MILLIS));
-        timeOut = loop.after(most, () -> failed(asked, "no answer in time"));
+        timer = loop.after(most, () -> failed(asked, "no answer in time"));
     }
 
     /** An answer, or a closed connection; keeps tells whether the next call may go over the same one. */
@@ -76,7 +93,7 @@
             failed(from, bad.getMessage());
             return;
         }
-        timeOut.cancel();
+        timer.cancel();
         if (failing) {
             LOG.info("discovery answers again");
             failing = false;
@@ -100,7 +117,7 @@
             return;
         }
         loop.pass();
-        timeOut.cancel();
+        timer.cancel();
         call = null;
         from.close();
         if (!failing) {
@@ -108,6 +125,6 @@
             failing = true;
         }
         told.failed();
-        loop.after(RETRY, this::ask);
+        timer = loop.after(RETRY, this::ask);
     }
 }
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -8,8 +8,10 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.util.concurrent.ExecutionException;
+import java.util.logging.Logger;
+import sun.misc.Signal;
 
-/** The program as a process: its configuration, its one event loop, its log, its end. */
+/** The program as a process: its configuration, its one event loop, its signals, its log, its end. */
 public final class Program {
     private Program() { }
 
@@ -29,6 +31,7 @@
                 throw new Unusable("can't listen on " + config.listen() + ": "
                         + listening.cause().getMessage());
             }
+            Signal.handle(new Signal("HUP"), hangup -> reread(configPath, thread, serve));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending()), "ending"));
             group.terminationFuture().await();
             return 0;
@@ -42,6 +45,21 @@
         return 1;
     }
 
+    /**
+     * Without a handler SIGHUP ends a JVM. Each comes on a thread of its own: the file is read there, so that
+     * the loop goes on, and one at a time, so that the file that was read last is the one that stays.
+     */
+    private static synchronized void reread(String configPath, EventLoop thread, Serve serve) {
+        try {
+            Config fresh = Config.read(configPath);
+            thread.execute(() -> serve.configure(fresh));
+        } catch (RuntimeException bad) {
+            // No field: a logger of this class would come before the log manager is named.
+            Logger.getLogger(Program.class.getName()).warning("the configuration in use stays, the new one can't be used: "
+                    + bad.getMessage());
+        }
+    }
+
     private static void end(EventLoop thread, Ending ending) {
         try {
             thread.execute(ending::begin);
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -31,9 +31,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Logger;
 
 /** One real router: wires clients, data nodes and discovery to the decisions, all on one thread. */
 final class Serve implements Loop.Turns, Asks, Reports, Told {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+
     /** Descriptors of the program itself: its jar and archive, the selector, the listener, discovery. */
     private static final int RESERVED = 64;
     private static final Span PATIENCE_FOR_LIST = Span.ofMillis(1000);
@@ -45,7 +48,7 @@
     private final Nodes nodes;
     private final Watch watch;
     private final Ending ending;
-    private final Config config;
+    private Config config;
     /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
     private final long unixOffset;
 
@@ -92,6 +95,22 @@
                 .childOption(ChannelOption.TCP_NODELAY, true), config.listen());
     }
 
+    /** On the loop's thread: what a running program can take on is where discovery is. */
+    void configure(Config fresh) {
+        loop.pass();
+        List<String> fixed = config.fixed(fresh);
+        if (!fixed.isEmpty()) {
+            LOG.warning("configuration: a change of " + String.join(", ", fixed) + " needs a new start");
+        }
+        if (fresh.discovery().equals(config.discovery())) {
+            LOG.info("configuration read anew: discovery stays at " + fresh.discovery());
+        } else {
+            LOG.info("configuration read anew: discovery is at " + fresh.discovery());
+            watch.move(fresh.discovery());
+        }
+        config = fresh;
+    }
+
     @Override
     public void begin(Time now) {
         decisions.begin(now);
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -183,6 +183,7 @@
         private String answer;
         private int revision;
         private int calls;
+        private String firstAsked;
 
         Discovery() throws IOException {
             listener = listen(this::serve);
@@ -203,6 +204,7 @@
         private synchronized String answerTo(String asked) throws IOException {
             int after = asked.contains("after=") ? Integer.parseInt(asked.replaceAll(".*after=(\\d+).*", "$1")) : -1;
             calls++;
+            firstAsked = firstAsked == null ? asked : firstAsked;
             notifyAll();
             try {
                 while (answer == null || revision <= after) {
@@ -290,6 +292,7 @@
     private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     private Process program;
     private int port;
+    private Path config;
     private Discovery discovery;
     private NodeStandIn a;
     private NodeStandIn b;
@@ -313,7 +316,7 @@
             try (ServerSocket free = new ServerSocket(0, 1, HERE)) {
                 port = free.getLocalPort();
             }
-            Path config = folder.resolve("config.json");
+            config = folder.resolve("config.json");
             Files.writeString(config, Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:" + port)
                     .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort()).replace("\"KNOWN\"", known)
                     .replace("\"sockets\":256", "\"sockets\":" + descriptors));
@@ -579,16 +582,61 @@
         told("one from before it", client.response() + ", then " + client.response());
         assertTrue(program.waitFor(PATIENCE_S, TimeUnit.SECONDS));
         told("exit", program.exitValue());
-        for (String line = log.poll(PATIENCE_S, TimeUnit.SECONDS); ; line = log.poll(PATIENCE_S, TimeUnit.SECONDS)) {
-            assertNotNull(line, "a last line of the log");
-            if (line.contains("ended")) {
-                told("log", line.replaceAll(".*: ", ""));
-                break;
-            }
-        }
+        told("log", logged("ended").replaceAll(".*: ", ""));
         same("serve-signal.txt");
     }
 
+    /** The next line of the log that holds some words. */
+    private String logged(String words) throws InterruptedException {
+        String line = "";
+        while (!line.contains(words)) {
+            line = log.poll(PATIENCE_S, TimeUnit.SECONDS);
+            assertNotNull(line, "a line of the log with " + words);
+        }
+        return line;
+    }
+
+    private void hangUp(String newConfig) throws Exception {
+        Files.writeString(config, newConfig);
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + program.pid()).start().waitFor());
+    }
+
+    /** The watch moves with an open multiget and a connection kept; files that can't be used change nothing. */
+    @Test
+    void aNewConfigurationOnASignal() throws Exception {
+        startWithList();
+        Client client = new Client().ask("report", "r1", 0);
+        NodeStandIn.Call open = a.next();
+        Discovery earlier = discovery;
+        discovery = new Discovery();
+        String before = Files.readString(config);
+        String moved = before.replaceAll("(\"discovery\":\"127.0.0.1:)\\d+", "$1" + discovery.listener.getLocalPort());
+        hangUp(moved.substring(0, 300));
+        told("log", logged("stays").replaceAll(".*Program: |: not JSON.*", ""));
+        hangUp(moved.replace("\"sockets\":256", "\"sockets\":512"));
+        told("log", logged("needs").replaceAll(".*: ", ""));
+        discovery.awaitCall(1);
+        told("the new place is asked", discovery.firstAsked);
+        earlier.list(9, true, target("b", a.endpoint(), 1, "up"));
+        discovery.list(2, true, target("a", a.endpoint(), 0, "up"), target("b", a.endpoint(), 1, "up"));
+        discovery.awaitCall(2);
+        open.answer("r1.0", "ok", "zero");
+        told("client", client.response());
+        client.ask("report", "r2", 0, 1);
+        for (NodeStandIn.Call call : List.of(a.next(), a.next())) {
+            told("a", call);
+            call.answer(call.rest.substring(0, 4), "ok", "on connection " + call.connection);
+        }
+        told("client", client.response());
+        hangUp(moved);
+        logged("stays at");
+        program.toHandle().destroy();
+        assertTrue(program.waitFor(PATIENCE_S, TimeUnit.SECONDS));
+        told("exit", program.exitValue());
+        same("serve-hangup.txt");
+        earlier.listener.close();
+    }
+
     @Test
     void unusableConfigurations() throws Exception {
         Path config = folder.resolve("bad.json");
