After SIGTERM open connections are served until the process must end

Probe (a line a second of each router): both routers were down together; a stopped one comes back 4.3 s after SIGTERM however soon it ends (measured with an end after 0.55 s and after 2.8 s: the same restart). Ruled out: CPU of the survivor (150 ms of 500 a second with twice the load, nothing dismissed). At fault: serve/Ending.java closed all idle connections after 550 ms, though clients go on using them. Now only the listener closes then; what is asked later has its time cut to what the process has left, so that the module ends it in time.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -72,7 +72,9 @@
             keep = usable && message.keepsAlive();
             int status = usable ? clients.reader.read(message) : message.status();
             if (status == 0) {
-                open = clients.reader.exchange(this, clients.loop.late());
+                // Its client's time has run while it waited to be read.
+                Span left = clients.left(clients.reader.left().minus(clients.loop.late()));
+                open = clients.reader.exchange(this, left);
                 clients.asks.asked(open);
             } else if (status == RequestReader.READY) {
                 answer(clients.ready() ? status : Responses.UNAVAILABLE, "", "");
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -26,6 +26,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean ready;
+    private Time until;
     private boolean closing;
     private boolean full;
     private boolean limitTold;
@@ -63,9 +64,14 @@
         return ready;
     }
 
-    /** From now on each connection is closed after the answer to what it has asked. */
-    public void closeAfterAnswers() {
-        closing = true;
+    /** What is asked from now on has only until then, so that the process may end. */
+    public void answerBefore(Time end) {
+        until = end;
+    }
+
+    /** What a request has left, of what its client says. */
+    Span left(Span told) {
+        return until == null ? told : Span.shortest(told, until.since(loop.pass()));
     }
 
     /** While the end has begun, and while clients wait to be accepted, answers close their connections. */
@@ -73,9 +79,13 @@
         return closing || full;
     }
 
-    /** Accepts no more, and closes those that have nothing open. */
     public void stopAccepting() {
         listener.close();
+    }
+
+    /** Closes those that have nothing open, and from now on each after the answer to what it has asked. */
+    public void closeAnswered() {
+        closing = true;
         new ArrayList<>(connections).stream().filter(ClientConnection::idle).forEach(ClientConnection::close);
     }
 
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -107,9 +107,14 @@
         return Span.ofMillis(Integer.parseInt(told));
     }
 
-    /** The multiget that was read last; its client's time has run while it waited to be read. */
-    Exchange exchange(ClientConnection from, Span waited) {
-        Span now = new Span(Math.max(1, left.micros() - waited.micros()));
+    /** What the client of the multiget that was read last said that it waits. */
+    Span left() {
+        return left;
+    }
+
+    /** The multiget that was read last, with what is left of its client's time. */
+    Exchange exchange(ClientConnection from, Span ofIt) {
+        Span now = new Span(Math.max(1, ofIt.micros()));
         return new Exchange(from, id, product, tenant, now, again, parts, text);
     }
 }
--- a/src/main/java/gladewing/router/Span.java
+++ b/src/main/java/gladewing/router/Span.java
@@ -17,6 +17,10 @@
         return new Span(micros + other.micros);
     }
 
+    public Span minus(Span other) {
+        return new Span(micros - other.micros);
+    }
+
     public Span times(double factor) {
         return new Span(Math.round(micros * factor));
     }
--- a/src/main/java/gladewing/serve/Ending.java
+++ b/src/main/java/gladewing/serve/Ending.java
@@ -8,13 +8,20 @@
 import java.util.logging.Logger;
 
 /**
- * The end after SIGTERM: not ready any more, but what comes is served for as long as the front may still
- * send; then no more is accepted, and the program ends when all that was taken is answered.
+ * The end after SIGTERM: not ready any more, but new connections are accepted for as long as the front may
+ * still send, and those there are are served nearly until the process may be killed: clients go on using
+ * them, and the other routers may be down too. What is taken meanwhile has its answer before the end.
  */
 final class Ending {
     private static final Logger LOG = Logger.getLogger(Ending.class.getName());
     /** The front takes up to 0.4 s to stop sending; the rest is for what is on its way. */
     private static final Span STILL_ACCEPTS = Span.ofMillis(550);
+    /** The protocol's: a process is killed no sooner than the longest time limit, 3 s at most, and this. */
+    private static final Span LONGEST_COUNTED = Span.ofMillis(3000);
+    private static final Span KILLED_AFTER = Span.ofMillis(700);
+    /** For the process to end in, and before that for the last answers to be made in. */
+    private static final Span TO_END = Span.ofMillis(300);
+    private static final Span LAST_ANSWERS = Span.ofMillis(500);
     private static final Span CHECK = Span.ofMillis(10);
 
     private final Loop loop;
@@ -36,9 +43,12 @@
         begun = true;
         until = loop.pass().plus(STILL_ACCEPTS).plus(longest);
         clients.setReady(false);
-        clients.closeAfterAnswers();
-        loop.after(STILL_ACCEPTS, () -> {
-            clients.stopAccepting();
+        Span killed = Span.shortest(longest, LONGEST_COUNTED).plus(KILLED_AFTER);
+        Span serves = Span.longest(STILL_ACCEPTS.plus(LAST_ANSWERS), killed.minus(TO_END));
+        clients.answerBefore(loop.pass().plus(serves));
+        loop.after(STILL_ACCEPTS, clients::stopAccepting);
+        loop.after(serves.minus(LAST_ANSWERS), () -> {
+            clients.closeAnswered();
             check();
         });
     }
