Connections to data nodes that fell silent are left; spoilt frames end theirs at once

Probe (a line a second): node after node gets failures without end and is out for 5 s at a time while it answers the other router; 5 connections fell silent, 29 were ever opened. At fault: nodes/Connection.hasRoom let every trial and probe go over the silent connection again. Now one on which something was owed for the settings' connect time-out with no frame coming back gets nothing new until a frame comes, and is closed once idle.

--- a/src/main/java/gladewing/frames/Answer.java
+++ b/src/main/java/gladewing/frames/Answer.java
@@ -2,6 +2,7 @@
 
 import gladewing.router.Load;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** An answer frame: how one part ended, the node's report where there is one, and the value as it came. */
 public record Answer(String id, String end, Load load, String value) {
@@ -18,12 +19,21 @@
         if (lineEnd == rest.length) {
             return null;
         }
-        String[] line = new String(rest, 0, lineEnd, StandardCharsets.UTF_8).split(" ", -1);
-        if (line.length != 4 || line[0].isEmpty()
+        // A report that can't be read counts as none, whatever is in it.
+        String[] line = new String(rest, 0, lineEnd, StandardCharsets.UTF_8).split(" ", 4);
+        if (line.length != 4 || line[0].isEmpty() || !score(line[2])
                 || !line[1].equals(OK) && !line[1].equals(ERROR) && !line[1].equals(BUSY)) {
             return null;
         }
-        String value = new String(rest, lineEnd + 1, rest.length - lineEnd - 1, StandardCharsets.UTF_8);
+        byte[] bytes = Arrays.copyOfRange(rest, lineEnd + 1, rest.length);
+        String value = new String(bytes, StandardCharsets.UTF_8);
+        if (value.indexOf('\uFFFD') >= 0 && !Arrays.equals(bytes, value.getBytes(StandardCharsets.UTF_8))) {
+            return null;
+        }
         return new Answer(line[0], line[1], LoadReport.read(line[3]), value);
     }
+
+    private static boolean score(String score) {
+        return score.equals("-") || !score.isEmpty() && score.chars().allMatch(c -> c >= '0' && c <= '9');
+    }
 }
--- a/src/main/java/gladewing/frames/Frames.java
+++ b/src/main/java/gladewing/frames/Frames.java
@@ -14,6 +14,8 @@
     public static final char ANSWER = 'A';
     public static final char ERROR = 'E';
 
+    static final String LETTERS = "QXPLAE";
+
     /** One part of a call; the span is in whole milliseconds. */
     public record CallPart(String id, int shard, long millis, byte[] text) { }
 
--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -4,6 +4,8 @@
 import gladewing.frames.Answer;
 import gladewing.frames.FrameReader;
 import gladewing.frames.Frames;
+import gladewing.loop.Timer;
+import gladewing.router.Span;
 import gladewing.router.Time;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -40,6 +42,11 @@
     private int live;
     private ChannelFuture lastFrame;
     private Time writtenAt;
+    /** Since when something is owed and no frame has come; and how long that was before, when all was dropped. */
+    private Time owedSince;
+    private Span silence = Span.ZERO;
+    /** Ends the connection where a frame has begun to come and its rest does not. */
+    private Timer rest;
     Time usedAt;
 
     Connection(Nodes nodes, Seat seat) {
@@ -70,9 +77,31 @@
         return lastFrame != null && !lastFrame.isDone() && writtenAt.before(nodes.loop.pass());
     }
 
+    /**
+     * It took what was sent, but for as long as a new one may take to come up no frame came back: the way may
+     * be gone with both ends open, while the node is well. The next go over another, until a frame comes here.
+     */
+    boolean silent() {
+        Span now = owedSince == null ? Span.ZERO : nodes.loop.pass().since(owedSince);
+        return !nodes.limits.connectTimeOut().longerThan(silence.plus(now));
+    }
+
+    /** Something that was owed is waited for no more. */
+    void dropped() {
+        if (owedSince != null && idle()) {
+            silence = silence.plus(nodes.loop.pass().since(owedSince));
+            owedSince = null;
+        }
+    }
+
+    private void heard() {
+        silence = Span.ZERO;
+        owedSince = idle() ? null : nodes.loop.pass();
+    }
+
     /** Whether these can be told apart from all that is out here, find a place, and would be read soon. */
     boolean hasRoom(List<Flight> call, int most) {
-        return !over && !stuck() && load() + call.size() <= most
+        return !over && !stuck() && !silent() && load() + call.size() <= most
                 && call.stream().noneMatch(f -> out.containsKey(f.id) || withdrawn.containsKey(f.id));
     }
 
@@ -87,6 +116,7 @@
 
     void send(Probe probe, char letter) {
         probes.add(probe);
+        probe.on = this;
         whenUp(() -> probe.frame = write(Frames.probe(channel.alloc(), letter)));
     }
 
@@ -116,6 +146,9 @@
     private ChannelFuture write(ByteBuf frame) {
         usedAt = nodes.loop.pass();
         writtenAt = usedAt;
+        if (owedSince == null && !idle()) {
+            owedSince = usedAt;
+        }
         nodes.loop.flushLater(channel);
         lastFrame = channel.write(frame);
         return lastFrame;
@@ -129,13 +162,16 @@
         } else if (tell) {
             out.remove(flight.id, flight);
             withdrawn.put(flight.id, flight);
+            dropped();
             write(Frames.giveUp(channel.alloc(), flight.id));
         }
+        dropped();
     }
 
-    /** The parts of a multiget that has its final answer are not sent again. */
-    void forgetEnded() {
-        withdrawn.values().removeIf(f -> f.transmission.of.ended());
+    /** The parts of a multiget that has its final answer are not sent again, and late answers have come by then. */
+    void forgetEnded(Time before) {
+        withdrawn.values().removeIf(f -> f.transmission.of.ended()
+                && f.sentAt.plus(f.transmission.timeOut).before(before));
     }
 
     void close() {
@@ -174,12 +210,31 @@
             progress = frames.read(in);
         }
         if (progress == FrameReader.Progress.UNUSABLE) {
-            broken("a frame of an impossible length");
+            broken("what is no frame");
+        } else if (in.size() == 0) {
+            stopWaiting();
+        } else if (rest == null && !over) {
+            // A length that is too long takes all that follows for its own: nothing on it would ever end.
+            rest = nodes.loop.after(nodes.limits.connectTimeOut(), () -> broken("a frame that does not end"));
+        }
+    }
+
+    private void stopWaiting() {
+        if (rest != null) {
+            rest.cancel();
+            rest = null;
         }
     }
 
     /** What is wrong with the frame, or null. */
     private String frame(char letter) {
+        stopWaiting();
+        String wrong = taken(letter);
+        heard();
+        return wrong;
+    }
+
+    private String taken(char letter) {
         switch (letter) {
             case Frames.ANSWER:
                 Answer answer = Answer.read(frames.rest());
@@ -187,7 +242,9 @@
                     return "an answer that can't be read";
                 }
                 Flight flight = out.remove(answer.id());
-                withdrawn.remove(answer.id());
+                if (withdrawn.remove(answer.id()) == null && flight == null) {
+                    return "an answer to nothing that was sent";
+                }
                 if (flight != null && !flight.over) {
                     live--;
                     nodes.answered(flight, answer);
@@ -221,6 +278,7 @@
             return;
         }
         over = true;
+        stopWaiting();
         nodes.loop.pass();
         nodes.remove(this);
         new ArrayList<>(out.values()).forEach(nodes::lost);
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -9,7 +9,6 @@
 import gladewing.router.Load;
 import gladewing.router.Span;
 import gladewing.router.Time;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -27,17 +26,17 @@
     private static final Span IDLE_CHECK = Span.ofMillis(1000);
 
     final Loop loop;
-    private final Bootstrap bootstrap;
-    private final NodeLimits limits;
+    private final Dial dial;
+    final NodeLimits limits;
     private final Reports reports;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final Map<Transmission, Flight> flights = new HashMap<>();
     private int connections;
     private boolean limitTold;
 
-    public Nodes(Loop loop, Bootstrap bootstrap, NodeLimits limits, Reports reports) {
+    public Nodes(Loop loop, Dial dial, NodeLimits limits, Reports reports) {
         this.loop = loop;
-        this.bootstrap = bootstrap;
+        this.dial = dial;
         this.limits = limits;
         this.reports = reports;
         loop.after(IDLE_CHECK, this::closeIdle);
@@ -130,7 +129,7 @@
         Connection connection = new Connection(this, pool.seat);
         pool.connections.add(connection);
         connections++;
-        ChannelFuture opening = bootstrap.clone().handler(connection).connect(pool.seat.address());
+        ChannelFuture opening = dial.connect(connection, pool.seat.address());
         connection.opened(opening.channel());
         loop.after(limits.connectTimeOut(), () -> {
             if (!opening.isDone()) {
@@ -163,9 +162,9 @@
         Span most = new Span(limits.idle().micros() - IDLE_CHECK.micros() * 2);
         for (Pool pool : new ArrayList<>(pools.values())) {
             for (Connection c : new ArrayList<>(pool.connections)) {
-                c.forgetEnded();
+                c.forgetEnded(now.minus(IDLE_CHECK));
                 boolean retired = !c.seat.equals(pool.seat);
-                if (c.idle() && (retired || now.since(c.usedAt).longerThan(most))) {
+                if (c.idle() && (retired || c.silent() || now.since(c.usedAt).longerThan(most))) {
                     close(c);
                 }
             }
@@ -228,6 +227,9 @@
             loop.pass();
             probe.over = true;
             probe.timeOut.cancel();
+            if (probe.on != null) {
+                probe.on.dropped();
+            }
             reports.probed(probe.node, end, load);
         }
     }
--- a/src/main/java/gladewing/nodes/Probe.java
+++ b/src/main/java/gladewing/nodes/Probe.java
@@ -6,6 +6,7 @@
 /** One probe of a node on its way; answers to probes come in the order of the probes on a connection. */
 final class Probe {
     final String node;
+    Connection on;
     Timer timeOut;
     /** The write of its frame; null while that waits for the connection. */
     ChannelFuture frame;
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -57,11 +57,16 @@
     }
 
     private void start(int connections, boolean withdrawals, Span idle) throws Exception {
+        start(connections, withdrawals, idle, Span.ofMillis(2000));
+    }
+
+    private void start(int connections, boolean withdrawals, Span idle, Span connectTimeOut) throws Exception {
         run(() -> {
             Loop loop = new Loop(thread);
             loop.start(this);
-            nodes = new Nodes(loop, new Bootstrap().group(thread).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0), new NodeLimits(4, 2, Span.ofMillis(2000), idle,
+            Bootstrap bootstrap = new Bootstrap().group(thread).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
+            nodes = new Nodes(loop, (handler, to) -> bootstrap.clone().handler(handler).connect(to), new NodeLimits(4, 2, connectTimeOut, idle,
                     connections, withdrawals, true), this);
         });
     }
@@ -143,6 +148,34 @@
         }
     }
 
+    /** A connection may go silent with both ends open and the node well: what is new goes over another. */
+    @Test
+    void aConnectionThatFellSilentIsLeft() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, true, Span.ofMillis(60_000), Span.ofMillis(100));
+            list("n", node.port());
+            transmit(to("n", Trace.asked("1", 2, 0), 0, Span.ofMillis(300)));
+            NodeStandIn.Call silent = node.next();
+            nextEnd();
+            told("withdrawn on connection " + silent.connection, node.next());
+            transmit(to("n", Trace.asked("2", 2, 0), 0, LONG));
+            NodeStandIn.Call second = node.next();
+            told("the next on connection", second.connection);
+            second.answer("2.0", "ok", "two");
+            nextEnd();
+            told("the silent one is closed", silent.ended());
+            run(() -> nodes.probe("n"));
+            NodeStandIn.Call probe = node.next();
+            nextEnd();
+            run(() -> nodes.probe("n"));
+            NodeStandIn.Call again = node.next();
+            told("probes on connections", probe.connection + " and " + again.connection);
+            again.write('L', "pending=2");
+            nextEnd();
+            assertEquals(Trace.kept("nodes-silent.txt"), told.toString());
+        }
+    }
+
     /** Nobody takes the connection up: that is no probe without an answer, which a node that is there may owe. */
     @Test
     void aProbeWhoseConnectionNeverComesUp() throws Exception {
