Clients that say nothing, never end, or use an open id are told so and closed

Read: ClientConnection gave an unfinished request 10 s, renewed by every byte, and a connection that never asks no end, where 3 s from connecting are owed; two multigets open under one id shared part ids. Now 408 after 2.4 s from the connection's start or a request's first byte, 409 for an open id; at the limit of connections what is being closed, then what owes a request for 0.5 s, gives way before idle ones. Test: silentAndEndlessClients. A probe's time begins with its pass (a test's time-out was microseconds short).

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -21,7 +21,10 @@
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
 
     private static final Span LINGER = Span.ofMillis(1000);
-    private static final Span LONGEST_REQUEST = Span.ofMillis(10_000);
+    /** The protocol's clients send a request at one go; one that is not whole by then never will be. */
+    private static final Span LONGEST_REQUEST = Span.ofMillis(2400);
+
+    private static final Span JUST_COME = Span.ofMillis(500);
 
     private final Clients clients;
     private final ConnectionBuffer in = new ConnectionBuffer(MessageReader.MOST_BYTES);
@@ -31,6 +34,8 @@
     private boolean keep = true;
     private boolean over;
     private boolean toldToGoOn;
+    /** Since when a request is owed: from the connection's start, and then from the first byte of each. */
+    private Time owedSince;
     Time usedAt;
 
     ClientConnection(Clients clients) {
@@ -41,12 +46,16 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         usedAt = clients.loop.pass();
+        owedSince = usedAt;
         clients.opened(this);
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object read) {
         usedAt = clients.loop.pass();
+        if (owedSince == null) {
+            owedSince = usedAt;
+        }
         ByteBuf bytes = (ByteBuf) read;
         try {
             // Once it is to be closed, what still comes is not taken.
@@ -68,10 +77,13 @@
                 break;
             }
             toldToGoOn = false;
+            owedSince = in.size() == 0 ? null : usedAt;
             boolean usable = progress == MessageReader.Progress.MESSAGE;
             keep = usable && message.keepsAlive();
             int status = usable ? clients.reader.read(message) : message.status();
-            if (status == 0) {
+            if (status == 0 && !clients.begun(clients.reader.id())) {
+                turnDown(Responses.CONFLICT);
+            } else if (status == 0) {
                 // Its client's time has run while it waited to be read.
                 Span left = clients.left(clients.reader.left().minus(clients.loop.late()));
                 open = clients.reader.exchange(this, left);
@@ -79,8 +91,7 @@
             } else if (status == RequestReader.READY) {
                 answer(clients.ready() ? status : Responses.UNAVAILABLE, "", "");
             } else {
-                keep = false;
-                answer(status, "", "");
+                turnDown(status);
             }
             message.next();
         }
@@ -104,7 +115,10 @@
     /** The one response to the request that was read last; headers end in CRLF each. */
     void answer(int status, String headers, String body) {
         boolean wasOpen = open != null;
-        open = null;
+        if (wasOpen) {
+            clients.ended(open.id);
+            open = null;
+        }
         if (over) {
             return;
         }
@@ -130,9 +144,32 @@
         clients.loop.after(LINGER, channel::close);
     }
 
-    /** Begun to ask and never finished, for so long that nobody can mean it. */
-    boolean stalled(Time now) {
-        return open == null && !idle() && now.since(usedAt).longerThan(LONGEST_REQUEST);
+    /** An error, and nothing more is read. */
+    private void turnDown(int status) {
+        keep = false;
+        answer(status, "", "");
+    }
+
+    /**
+     * Silent from its start, or begun to ask and not finished, however its bytes trickle: it is told so and
+     * closed. One that keeps its connection between requests owes nothing.
+     */
+    void closeStalled(Time now) {
+        if (open == null && !over && owedSince != null && now.since(owedSince).longerThan(LONGEST_REQUEST)) {
+            turnDown(Responses.TIMED_OUT);
+        }
+    }
+
+    /** What closing it would cost, least first, where another is to have its place; negative is too much. */
+    int place(Time now) {
+        if (over) {
+            return 0;
+        }
+        if (open != null) {
+            return -1;
+        }
+        // One that has only just come may be about to ask, and would have failed.
+        return idle() && owedSince == null ? 2 : now.since(owedSince).longerThan(JUST_COME) ? 1 : 3;
     }
 
     boolean idle() {
@@ -157,6 +194,7 @@
         if (open != null) {
             Exchange left = open;
             open = null;
+            clients.ended(left.id);
             clients.asks.left(left);
         }
     }
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -6,9 +6,11 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.logging.Logger;
@@ -17,13 +19,14 @@
 public final class Clients {
     private static final Logger LOG = Logger.getLogger(Clients.class.getName());
 
-    private static final Span CHECK = Span.ofMillis(1000);
+    private static final Span CHECK = Span.ofMillis(200);
 
     final Loop loop;
     final Asks asks;
     final RequestReader reader;
     private final int most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final Set<String> openIds = new HashSet<>();
     private Channel listener;
     private boolean ready;
     private Time until;
@@ -42,7 +45,7 @@
         ChannelFuture bound = bootstrap.childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new ClientConnection(Clients.this));
+                channel.pipeline().addLast(connection());
             }
         }).bind(address);
         listener = bound.channel();
@@ -50,9 +53,14 @@
         return bound;
     }
 
+    /** What speaks with one more client. */
+    public ChannelHandler connection() {
+        return new ClientConnection(this);
+    }
+
     private void closeStalled() {
         Time now = loop.pass();
-        new ArrayList<>(connections).stream().filter(c -> c.stalled(now)).forEach(ClientConnection::close);
+        new ArrayList<>(connections).forEach(c -> c.closeStalled(now));
         loop.after(CHECK, this::closeStalled);
     }
 
@@ -93,15 +101,27 @@
         return connections.isEmpty();
     }
 
-    /** At the limit an idle connection gives way; where none is, no more are accepted until one ends. */
+    /** False where another multiget is open under the id: part ids are made of it, and answers would cross. */
+    boolean begun(String id) {
+        return openIds.add(id);
+    }
+
+    void ended(String id) {
+        openIds.remove(id);
+    }
+
+    /** At the limit one that asks nothing gives way; where none is, no more are accepted until one ends. */
     void opened(ClientConnection connection) {
         connections.add(connection);
         if (connections.size() < most) {
             return;
         }
+        Time now = loop.pass();
         ClientConnection idlest = null;
         for (ClientConnection c : connections) {
-            if (c != connection && c.idle() && (idlest == null || c.usedAt.before(idlest.usedAt))) {
+            int place = c.place(now);
+            if (c != connection && place >= 0 && (idlest == null || place < idlest.place(now)
+                    || place == idlest.place(now) && c.usedAt.before(idlest.usedAt))) {
                 idlest = c;
             }
         }
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -107,6 +107,10 @@
         return Span.ofMillis(Integer.parseInt(told));
     }
 
+    String id() {
+        return id;
+    }
+
     /** What the client of the multiget that was read last said that it waits. */
     Span left() {
         return left;
--- a/src/main/java/gladewing/clients/Responses.java
+++ b/src/main/java/gladewing/clients/Responses.java
@@ -2,6 +2,8 @@
 
 /** The heads of responses. */
 final class Responses {
+    static final int TIMED_OUT = 408;
+    static final int CONFLICT = 409;
     static final int UNAVAILABLE = 503;
     static final String GO_ON = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -24,11 +26,15 @@
                 return "Not Found";
             case 405:
                 return "Method Not Allowed";
+            case TIMED_OUT:
+                return "Request Timeout";
+            case CONFLICT:
+                return "Conflict";
             case 413:
                 return "Content Too Large";
             case 431:
                 return "Request Header Fields Too Large";
-            case 503:
+            case UNAVAILABLE:
                 return "Service Unavailable";
             default:
                 return "Gateway Timeout";
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -90,6 +90,7 @@
     }
 
     public void probe(String node) {
+        loop.pass();
         Probe probe = new Probe(node);
         // First the connection: that one never comes up is told as that, not as a probe without an answer.
         Connection connection = connection(node, List.of());
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -162,6 +163,11 @@
             return call;
         }
 
+        /** The next frame, once a client has asked. */
+        public Call next(Object asked) throws InterruptedException {
+            return next();
+        }
+
         public boolean silent() {
             return calls.isEmpty();
         }
@@ -466,26 +472,44 @@
         same("serve-broken.txt");
     }
 
+    /** What is spoilt ends its connection and is sent again; none is served but the value made for its part. */
     @Test
     void badFramesEndTheirConnectionAlone() throws Exception {
         startWithList();
         Client client = new Client();
-        String[] bad = {"E", "letter", "answer", "length"};
+        String[] bad = {"E", "letter", "no line", "length 0", "length 3 GB", "noise", "unknown id", "unknown end", "no score",
+            "no text", "a letter for a length", "line without end", "rest that never comes"};
         for (int i = 0; i < bad.length; i++) {
             client.ask("report", "r" + i, 0, 1);
             NodeStandIn.Call toA = a.next();
             b.next().answer("r" + i + ".1", "ok", "one");
-            toA.answer("unknown.0", "ok", "dropped");
             switch (bad[i]) {
                 case "E" -> toA.write('E', "no such shard");
                 case "letter" -> toA.write('z', "");
-                case "answer" -> toA.write('A', "no line");
-                default -> toA.raw(new byte[] {0, 0, 0, 0});
+                case "no line" -> toA.write('A', "no line");
+                case "length 0" -> toA.raw(new byte[] {0, 0, 0, 0});
+                case "length 3 GB" -> toA.raw(new byte[] {0, 0, 0, -64, 'A'});
+                case "noise" -> toA.raw("\u0007\u0000\u0000\u0000noise".getBytes(StandardCharsets.ISO_8859_1));
+                case "unknown id" -> toA.answer("r" + i + ".3", "ok", "three");
+                case "unknown end" -> toA.answer("r" + i + ".0", "oak", "zero");
+                case "no score" -> toA.write('A', "r" + i + ".0 ok x -\nzero");
+                case "no text" -> toA.raw(("\u0010\u0000\u0000\u0000Ar" + i + ".0 ok 1 -\n\u00ff\u00fe").getBytes(StandardCharsets.ISO_8859_1));
+                case "a letter for a length" -> toA.raw(new byte[] {9, 0, 0, 0, 'q'});
+                case "line without end" -> toA.raw(("\u0000\u0080\u0000\u0000A" + "x".repeat(3000)).getBytes(StandardCharsets.ISO_8859_1));
+                default -> toA.raw(("\u0000\u0080\u0000\u0000Ar" + i + ".0 ok 1 -\nzero").getBytes(StandardCharsets.ISO_8859_1));
             }
             NodeStandIn.Call again = a.next();
             again.answer("r" + i + ".0", "ok", "zero");
             told(bad[i], client.response() + " on connection " + again.connection);
         }
+        NodeStandIn.Call last = a.next(client.ask("report", "s", 0));
+        last.answer("s.0", "ok", "zero");
+        last.answer("s.0", "ok", "a second copy");
+        told("a second copy", client.response() + ", connection ended: " + last.ended());
+        NodeStandIn.Call unreadable = a.next(client.ask("report", "t", 0));
+        unreadable.write('A', "t.0 ok 1 inflight=? x,,\nzero");
+        told("a report that can't be read", client.response() + " on connection " + unreadable.connection);
+        told("then", a.next(client.ask("report", "u", 0)).connection);
         same("serve-bad-frames.txt");
     }
 
@@ -541,6 +565,34 @@
         same("serve-discovery.txt");
     }
 
+    /** Who says nothing, or never ends what it says, is told so in time; one between two requests is served. */
+    @Test
+    void silentAndEndlessClients() throws Exception {
+        startWithList();
+        Client keeps = new Client().ask("report", "r1", 0);
+        a.next().answer("r1.0", "ok", "zero");
+        told("one that asks", keeps.response());
+        Client silent = new Client();
+        Client trickles = new Client().send("POST /report HTTP/1.1\r\nX-A: ");
+        thread(() -> {
+            for (int i = 0; i < 100 * PATIENCE_S; i++) {
+                trickles.send("a");
+                LockSupport.parkNanos(10_000_000);
+            }
+        });
+        told("one that says nothing", silent.response() + ", then " + silent.response());
+        told("one that never ends", trickles.response());
+        Client asks = new Client().ask("report", "r2", 0);
+        NodeStandIn.Call call = a.next();
+        told("another under an id that is open", new Client().ask("report", "r2", 0).response());
+        call.answer("r2.0", "ok", "zero");
+        told("the first under it", asks.response());
+        keeps.ask("report", "r2", 0);
+        a.next().answer("r2.0", "ok", "zero");
+        told("one that asks again, under the id that is free by now", keeps.response());
+        same("serve-silent.txt");
+    }
+
     /** Four connections for clients: idle ones give way; with none idle, the next waits until one is answered. */
     @Test
     void aFullClientSide() throws Exception {
