A rehearsal of made-up multigets before the router listens

Probe: at each start 0.5 s of CPU until ready, then 0.45 + 0.35 + 0.2 s in the first seconds of load on half a core, passes of 400 ms, up to half of the multigets dismissed; steady state is 0.12 to 0.16 s a second. Ruled out by measuring: inlining limits of C1, compile thresholds (0.2, 5), the class list made anew, JFR, texts joined inline: total CPU of the first 220 requests 1.9 to 2.2 s with all of them; 1.07 s of it is the compiler, 1,703 methods.

--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -2,6 +2,7 @@
 
 import gladewing.config.Config;
 import gladewing.json.Unusable;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -25,7 +26,10 @@
             Config config = Config.read(configPath);
             MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
-            Serve serve = thread.submit(() -> new Serve(thread, config)).get();
+            Rehearsal.play(config);
+            Bootstrap bootstrap = Serve.bootstrap(thread);
+            Serve serve = thread.submit(() -> new Serve(thread, config,
+                    (handler, to) -> bootstrap.clone().handler(handler).connect(to))).get();
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
                 throw new Unusable("can't listen on " + config.listen() + ": "
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -14,6 +14,7 @@
 import gladewing.discovery.Told;
 import gladewing.discovery.Watch;
 import gladewing.loop.Loop;
+import gladewing.nodes.Dial;
 import gladewing.nodes.NodeLimits;
 import gladewing.nodes.Nodes;
 import gladewing.nodes.Reports;
@@ -25,6 +26,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -52,24 +54,21 @@
     /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
     private final long unixOffset;
 
-    Serve(EventLoop thread, Config config) {
+    /** The dial is for connections to data nodes. */
+    Serve(EventLoop thread, Config config, Dial dial) {
         this.thread = thread;
         this.config = config;
         loop = new Loop(thread);
         unixOffset = System.currentTimeMillis() * 1000 - Loop.clock().micros();
         decisions = new Decisions(config.settings(), config.seed(), Loop.clock());
         int shared = Math.max(2, config.sockets() - RESERVED);
-        Bootstrap bootstrap = new Bootstrap().group(thread).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
-                .option(ChannelOption.TCP_NODELAY, true);
         Config.Connections told = config.connections();
-        nodes = new Nodes(loop, bootstrap, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
+        nodes = new Nodes(loop, dial, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
                 told.connectTimeOut(), told.idle(), shared / 2, config.settings().allowed().withdrawals(),
                 told.loadProbes()), this);
         Site site = new Site(config.products(), config.tenants(), config.shards());
         clients = new Clients(loop, site, shared - shared / 2, this);
-        watch = new Watch(loop, bootstrap, config.discovery(), config.settings().shards().cells(), this);
+        watch = new Watch(loop, bootstrap(thread), config.discovery(), config.settings().shards().cells(), this);
         Span longest = Span.ZERO;
         for (Settings.Product product : config.settings().products()) {
             longest = Span.longest(longest, product.limit());
@@ -78,6 +77,18 @@
         loop.start(this);
     }
 
+    static Bootstrap bootstrap(EventLoop thread) {
+        return new Bootstrap().group(thread).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+                .option(ChannelOption.TCP_NODELAY, true);
+    }
+
+    /** What speaks with one client. */
+    ChannelHandler client() {
+        return clients.connection();
+    }
+
     /** On the loop's thread; the result is done once the address is listened on. */
     ChannelFuture start() {
         loop.pass();
