A silent connection to a data node is replaced once a second at most

A slow node was buried under connections, each of which is work to it. Now a second at most passes between replacements, after twice the connect time-out.

--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -78,12 +78,16 @@
     }
 
     /**
-     * It took what was sent, but for as long as a new one may take to come up no frame came back: the way may
-     * be gone with both ends open, while the node is well. The next go over another, until a frame comes here.
+     * It took what was sent, but for twice as long as a new one may take to come up no frame came back: the way
+     * may be gone with both ends open, while the node is well. The next go over another, till a frame comes.
      */
     boolean silent() {
         Span now = owedSince == null ? Span.ZERO : nodes.loop.pass().since(owedSince);
-        return !nodes.limits.connectTimeOut().longerThan(silence.plus(now));
+        return !nodes.limits.connectTimeOut().times(2).longerThan(silence.plus(now));
+    }
+
+    boolean better(Connection than) {
+        return silent() != than.silent() ? than.silent() : up != than.up ? up : load() < than.load();
     }
 
     /** Something that was owed is waited for no more. */
@@ -101,7 +105,7 @@
 
     /** Whether these can be told apart from all that is out here, find a place, and would be read soon. */
     boolean hasRoom(List<Flight> call, int most) {
-        return !over && !stuck() && !silent() && load() + call.size() <= most
+        return !over && !stuck() && load() + call.size() <= most
                 && call.stream().noneMatch(f -> out.containsKey(f.id) || withdrawn.containsKey(f.id));
     }
 
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -115,7 +115,7 @@
         if (pool == null || pool.seat == null) {
             return null;
         }
-        Connection free = pool.withRoom(call, limits.partsPerConnection());
+        Connection free = pool.withRoom(call, limits.partsPerConnection(), loop.pass());
         return free != null ? free : open(pool);
     }
 
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -1,11 +1,16 @@
 package gladewing.nodes;
 
+import gladewing.router.Span;
+import gladewing.router.Time;
 import java.util.ArrayList;
 import java.util.List;
 
 /** The connections to one data node. One to an earlier seat of its only ends what it has. */
 final class Pool {
+    private static final Span REPLACE = Span.ofMillis(1000);
+
     final String node;
+    private Time replacedAt;
     /** Null once the node is off the list. */
     Seat seat;
     final List<Connection> connections = new ArrayList<>();
@@ -14,16 +19,22 @@
         this.node = node;
     }
 
-    /** One that is up before one that is coming up, and the least loaded of these; or null. */
-    Connection withRoom(List<Flight> call, int most) {
+    /**
+     * One that is up before one that is coming up, and the least loaded of these; or null, for a new one. One
+     * that fell silent is used only for as long as none may be opened in its place: a node that is only slow
+     * would be buried under connections, each of which is work to it.
+     */
+    Connection withRoom(List<Flight> call, int most, Time now) {
         Connection best = null;
         for (Connection c : connections) {
-            if (c.seat.equals(seat) && c.hasRoom(call, most)
-                    && (best == null || c.up() && !best.up()
-                    || c.up() == best.up() && c.load() < best.load())) {
+            if (c.seat.equals(seat) && c.hasRoom(call, most) && (best == null || c.better(best))) {
                 best = c;
             }
         }
+        if (best != null && best.silent() && (replacedAt == null || now.since(replacedAt).longerThan(REPLACE))) {
+            replacedAt = now;
+            return null;
+        }
         return best;
     }
 }
