Calls to a data node go alone for 2 s after a connection to it broke

Seen: churn, seconds 46 to 58: up to 680 parts a second end as resets. Probe (each reset with its node, age and parts): five nodes reset a connection every 20 to 50 ms, each with 3 to 10 parts out, of which one is the answer that was lost; the others had been worked on and were sent again. Ruled out: our own closes (none logged), limits of connections (31 at once), idle closes. At fault: nodes/Nodes.connection puts all calls on the least loaded connection. Test: callsGoAloneAfterABreak.

--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -284,7 +284,7 @@
         over = true;
         stopWaiting();
         nodes.loop.pass();
-        nodes.remove(this);
+        nodes.remove(this, live > 0);
         new ArrayList<>(out.values()).forEach(nodes::lost);
         probes.forEach(nodes::lost);
         out.clear();
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -116,7 +116,9 @@
             return null;
         }
         Connection free = pool.withRoom(call, limits.partsPerConnection(), loop.pass());
-        return free != null ? free : open(pool);
+        boolean alone = free != null && free.load() > 0 && !call.isEmpty() && pool.breaks(loop.pass())
+                && connections < limits.connections();
+        return free != null && !alone ? free : open(pool);
     }
 
     private Connection open(Pool pool) {
@@ -176,10 +178,13 @@
         loop.after(IDLE_CHECK, this::closeIdle);
     }
 
-    void remove(Connection connection) {
+    void remove(Connection connection, boolean broke) {
         for (Pool pool : pools.values()) {
             if (pool.connections.remove(connection)) {
                 connections--;
+                if (broke) {
+                    pool.broke(loop.pass());
+                }
                 return;
             }
         }
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -8,9 +8,11 @@
 /** The connections to one data node. One to an earlier seat of its only ends what it has. */
 final class Pool {
     private static final Span REPLACE = Span.ofMillis(1000);
+    private static final Span LATELY = Span.ofMillis(2000);
 
     final String node;
     private Time replacedAt;
+    private Time brokeAt;
     /** Null once the node is off the list. */
     Seat seat;
     final List<Connection> connections = new ArrayList<>();
@@ -19,6 +21,19 @@
         this.node = node;
     }
 
+    /** A connection of this node broke with something out on it. */
+    void broke(Time now) {
+        brokeAt = now;
+    }
+
+    /**
+     * Whether calls go alone for now: a connection that breaks takes all that is out on it, also what the node
+     * has nearly done, and doing that again is dearer to the node than one connection more.
+     */
+    boolean breaks(Time now) {
+        return brokeAt != null && LATELY.longerThan(now.since(brokeAt));
+    }
+
     /**
      * One that is up before one that is coming up, and the least loaded of these; or null, for a new one. One
      * that fell silent is used only for as long as none may be opened in its place: a node that is only slow
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -175,6 +175,29 @@
         }
     }
 
+    /** What shares a connection ends with it: after a break, calls to that node go alone. */
+    @Test
+    void callsGoAloneAfterABreak() throws Exception {
+        try (NodeStandIn node = new NodeStandIn()) {
+            start(10, true, LONG);
+            list("n", node.port());
+            for (int i = 1; i < 6; i++) {
+                transmit(to("n", Trace.asked("" + i, 2, 0), 0, LONG));
+                NodeStandIn.Call call = node.next();
+                told("call " + i + " on connection", call.connection);
+                if (i == 2) {
+                    call.close();
+                    nextEnd();
+                    nextEnd();
+                } else if (i == 4) {
+                    call.answer("4.0", "ok", "four");
+                    nextEnd();
+                }
+            }
+            assertEquals(Trace.kept("nodes-alone.txt"), told.toString());
+        }
+    }
+
     /** Nobody takes the connection up: that is no probe without an answer, which a node that is there may owe. */
     @Test
     void aProbeWhoseConnectionNeverComesUp() throws Exception {
