--- a/src/main/java/gladewing/serve/Ending.java
+++ b/src/main/java/gladewing/serve/Ending.java
@@ -20,8 +20,8 @@
     private static final Span LONGEST_COUNTED = Span.ofMillis(3000);
     private static final Span KILLED_AFTER = Span.ofMillis(700);
     /** For the process to end in, and before that for the last answers to be made in. */
-    private static final Span TO_END = Span.ofMillis(300);
-    private static final Span LAST_ANSWERS = Span.ofMillis(500);
+    private static final Span TO_END = Span.ofMillis(200);
+    private static final Span LAST_ANSWERS = Span.ofMillis(400);
     private static final Span CHECK = Span.ofMillis(10);
 
     private final Loop loop;
