A call to discovery waits 1 s, so that a lost one is noticed 1.5 s later

At fault: discovery/Watch.WAIT_MILLIS of 10 s and 1 s of patience: a lost call went unnoticed for 11 s, while its news count as told 2 s after its wait, 6 s later at most. Ruled out: nodes that were dropped from the picture (Pool.seat is emptied in the same pass as the list). Test: discoveryMayFailInAnyWay.

--- a/src/main/java/gladewing/discovery/Watch.java
+++ b/src/main/java/gladewing/discovery/Watch.java
@@ -17,9 +17,13 @@
 public final class Watch {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     private static final String PATH = "/registry/instances";
-    private static final int WAIT_MILLIS = 10_000;
-    /** How long past its wait an answer may take; the agent is on this machine. */
-    private static final Span PATIENCE = Span.ofMillis(1000);
+    /**
+     * Short, as a call may be lost with its connection open: until its wait is over that looks like no news,
+     * and what it held counts as told. The agent is on this machine, and its answers cost nothing.
+     */
+    private static final int WAIT_MILLIS = 1000;
+    /** How long past its wait an answer may take. */
+    private static final Span PATIENCE = Span.ofMillis(500);
     private static final Span RETRY = Span.ofMillis(100);
 
     final Loop loop;
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -190,6 +190,7 @@
         private int revision;
         private int calls;
         private String firstAsked;
+        private boolean loseNext;
 
         Discovery() throws IOException {
             listener = listen(this::serve);
@@ -212,9 +213,15 @@
             calls++;
             firstAsked = firstAsked == null ? asked : firstAsked;
             notifyAll();
+            boolean lost = loseNext;
+            loseNext = false;
+            long until = System.nanoTime() + 1_000_000L * (after < 0 ? 0 : Long.parseLong(asked.replaceAll(".*wait_ms=(\\d+).*", "$1")));
             try {
-                while (answer == null || revision <= after) {
-                    wait();
+                while (lost || answer == null || revision <= after) {
+                    if (!lost && answer != null && System.nanoTime() > until) {
+                        return listing(after, false);
+                    }
+                    wait(100);
                 }
             } catch (InterruptedException ended) {
                 throw new IOException(ended);
@@ -236,9 +243,13 @@
         }
 
         void list(int newRevision, boolean all, String... targets) {
+            say(newRevision, listing(newRevision, all, targets));
+        }
+
+        private static String listing(int newRevision, boolean all, String... targets) {
             String body = "{\"rev\":" + newRevision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
-            say(newRevision, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
-                    + "\r\n" + body + "\r\n0\r\n\r\n");
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
+                    + "\r\n" + body + "\r\n0\r\n\r\n";
         }
     }
 
@@ -562,6 +573,11 @@
         client.ask("report", "r1", 0);
         a.next().answer("r1.0", "ok", "zero");
         told("client, after a list of a lower revision", client.response());
+        int calls = discovery.calls;
+        long before = System.nanoTime();
+        discovery.loseNext = true;
+        discovery.awaitCall(calls + 2);
+        told("a call that is never answered holds news back for 5 s or more", System.nanoTime() - before >= 5_000_000_000L);
         same("serve-discovery.txt");
     }
 
