An answer that has not left counts as open, so that no close takes it

At fault: ClientConnection.idle and place: an answer leaves at the end of its pass, but its connection counted as idle at once, and could give way to a new one, or be closed by the end, in the same pass.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -34,6 +34,7 @@
     private boolean keep = true;
     private boolean over;
     private boolean toldToGoOn;
+    private ChannelFuture lastAnswer;
     /** Since when a request is owed: from the connection's start, and then from the first byte of each. */
     private Time owedSince;
     Time usedAt;
@@ -129,6 +130,7 @@
         String head = Responses.head(status, headers, bytes.length, keep);
         out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
         ChannelFuture written = channel.write(out.writeBytes(bytes));
+        lastAnswer = written;
         clients.loop.flushLater(channel);
         if (over) {
             written.addListener(done -> closeSoon());
@@ -162,18 +164,23 @@
 
     /** What closing it would cost, least first, where another is to have its place; negative is too much. */
     int place(Time now) {
-        if (over) {
-            return 0;
-        }
-        if (open != null) {
+        if (open != null || answering()) {
             return -1;
         }
+        if (over) {
+            return 1;
+        }
         // One that has only just come may be about to ask, and would have failed.
-        return idle() && owedSince == null ? 2 : now.since(owedSince).longerThan(JUST_COME) ? 1 : 3;
+        return owedSince == null ? 2 : now.since(owedSince).longerThan(JUST_COME) ? 0 : 3;
+    }
+
+    /** An answer leaves at the end of its pass, and may have to wait for its client: a close would take it. */
+    private boolean answering() {
+        return lastAnswer != null && !lastAnswer.isDone();
     }
 
     boolean idle() {
-        return open == null && !message.within() && in.size() == 0;
+        return open == null && !answering() && !message.within() && in.size() == 0;
     }
 
     void close() {
