--- a/src/main/java/gladewing/serve/Rehearsal.java
+++ b/src/main/java/gladewing/serve/Rehearsal.java
@@ -27,7 +27,7 @@
  */
 final class Rehearsal {
     private static final int MULTIGETS = 240;
-    private static final Span MOST = Span.ofMillis(1000);
+    private static final Span MOST = Span.ofMillis(2000);
     private static final int CLIENTS = 3;
     private static final int PARTS = 5;
     private static final int CELLS = 24;
