Clients have three quarters of the descriptors; idle ones that have asked give way first

Probe: at 160 of 384 descriptors some 50 connections a second that have not asked yet are evicted, which usual clients had just opened; one that has asked before asks once more. At fault: ClientConnection.place, and Serve's half for nodes, which use some 20 of 160. Test: aFullClientSide.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -170,8 +170,8 @@
         if (over) {
             return 1;
         }
-        // One that has only just come may be about to ask, and would have failed.
-        return owedSince == null ? 2 : now.since(owedSince).longerThan(JUST_COME) ? 0 : 3;
+        // One that asked before asks once more on a new one; one that has not would have failed, if it is good.
+        return owedSince == null ? 0 : now.since(owedSince).longerThan(JUST_COME) ? 2 : 3;
     }
 
     /** An answer leaves at the end of its pass, and may have to wait for its client: a close would take it. */
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -64,10 +64,10 @@
         int shared = Math.max(2, config.sockets() - RESERVED);
         Config.Connections told = config.connections();
         nodes = new Nodes(loop, dial, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
-                told.connectTimeOut(), told.idle(), shared / 2, config.settings().allowed().withdrawals(),
+                told.connectTimeOut(), told.idle(), shared / 4, config.settings().allowed().withdrawals(),
                 told.loadProbes()), this);
         Site site = new Site(config.products(), config.tenants(), config.shards());
-        clients = new Clients(loop, site, shared - shared / 2, this);
+        clients = new Clients(loop, site, shared - shared / 4, this);
         watch = new Watch(loop, bootstrap(thread), config.discovery(), config.settings().shards().cells(), this);
         Span longest = Span.ZERO;
         for (Settings.Product product : config.settings().products()) {
