A dropped part is told to its connection's silence once, not twice

Re-read: drop() called dropped() before the frame X and again after it; the X of an idle connection owes nothing, so the second call does all. Behaviour as before; NodesTest green.

--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -166,7 +166,6 @@
         } else if (tell) {
             out.remove(flight.id, flight);
             withdrawn.put(flight.id, flight);
-            dropped();
             write(Frames.giveUp(channel.alloc(), flight.id));
         }
         dropped();
