--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -4,6 +4,7 @@
 import gladewing.http.MessageReader;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.routes.Decision;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -85,10 +86,7 @@
             if (status == 0 && !clients.begun(clients.reader.id())) {
                 turnDown(Responses.CONFLICT);
             } else if (status == 0) {
-                // Its client's time has run while it waited to be read.
-                Span left = clients.left(clients.reader.left().minus(clients.loop.late()));
-                open = clients.reader.exchange(this, left);
-                clients.asks.asked(open);
+                begin();
             } else if (status == RequestReader.READY) {
                 answer(clients.ready() ? status : Responses.UNAVAILABLE, "", "");
             } else {
@@ -100,6 +98,22 @@
         channel.config().setAutoRead(in.size() < MessageReader.MOST_BYTES / 2);
     }
 
+    /** A multiget that was read is routed, once, and taken or turned away before anything of it is sent. */
+    private void begin() {
+        RequestReader reader = clients.reader;
+        // Its client's time has run while it waited to be read.
+        Span left = clients.left(reader.left().minus(clients.loop.late()));
+        Decision routed = clients.routed(left);
+        if (routed != null && routed.dismissed()) {
+            clients.ended(reader.id());
+            answer(Responses.TOO_MANY, Responses.retryAfter(new Span(routed.comeBack())), "");
+            return;
+        }
+        open = routed == null ? reader.exchange(this, left, reader.product(), reader.tenant())
+                : reader.exchange(this, left, routed.product(reader.product()), routed.tenant(reader.tenant()));
+        clients.asks.asked(open);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         clients.loop.later(this::next);
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -3,6 +3,8 @@
 import gladewing.loop.Loop;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.routes.Decision;
+import gladewing.routes.Table;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -27,6 +29,8 @@
     private final int most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Set<String> openIds = new HashSet<>();
+    /** Null where nothing is routed. */
+    private Table table;
     private Channel listener;
     private boolean ready;
     private Time until;
@@ -58,6 +62,19 @@
         return new ClientConnection(this);
     }
 
+    /** From now on requests are routed by it; what was taken before stays as it was routed. */
+    public void route(Table fresh) {
+        if (table != null) {
+            fresh.follow(table);
+        }
+        table = fresh;
+    }
+
+    /** What is done with the request that was read last; null where nothing is routed. */
+    Decision routed(Span left) {
+        return table == null ? null : table.route(reader.asked(left), loop.pass().micros());
+    }
+
     private void closeStalled() {
         Time now = loop.pass();
         new ArrayList<>(connections).forEach(c -> c.closeStalled(now));
--- a/src/main/java/gladewing/clients/Exchange.java
+++ b/src/main/java/gladewing/clients/Exchange.java
@@ -36,8 +36,7 @@
 
     @Override
     public void dismissed(Span comeBack) {
-        from.answer(Responses.UNAVAILABLE, comeBack.micros() > 0
-                ? "Retry-After: " + comeBack.millis() / 1000 + "\r\n" : "", "");
+        from.answer(Responses.UNAVAILABLE, Responses.retryAfter(comeBack), "");
     }
 
     @Override
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -6,6 +6,7 @@
 import gladewing.json.Json;
 import gladewing.json.Unusable;
 import gladewing.router.Span;
+import gladewing.routes.Asked;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -20,14 +21,24 @@
     private static final int WRONG_METHOD = 405;
     private static final int LONGEST_ID = 128;
     private static final int LONGEST_TEXT = 64 * 1024;
+    /** Good requests round their weights to six digits (seen: 0.000002 off at 8 parts); the module's own rounding. */
+    private static final double ROUNDING = 0.00005;
+    /** No client waits so long, and no part is so much work: it is a mistake, and would be reckoned with. */
+    private static final Span LONGEST_TIME = Span.ofMillis(600_000);
 
     private final Site site;
+    private MessageReader message;
+    private String method;
+    private String path;
     private String id;
     private int product;
     private int tenant;
     private Span left;
     private boolean again;
     private List<Taken.Part> parts;
+    /** What only routes ask of a part: its key, or null, and whether a cost was told. */
+    private String[] keys;
+    private boolean[] costs;
     private byte[] text;
 
     RequestReader(Site site) {
@@ -42,7 +53,9 @@
             return BAD;
         }
         int query = line[1].indexOf('?');
-        String path = query < 0 ? line[1] : line[1].substring(0, query);
+        path = query < 0 ? line[1] : line[1].substring(0, query);
+        method = line[0];
+        this.message = message;
         if (path.equals("/health/ready")) {
             return line[0].equals("GET") ? READY : WRONG_METHOD;
         }
@@ -68,29 +81,39 @@
                 || !id.chars().allMatch(c -> c > ' ' && c < 127)) {
             throw new Unusable("no id that can be used");
         }
-        String told = message.header("x-priority-class");
-        if (told != null && site.products().indexOf(told) != product) {
+        String named = message.header("x-priority-class");
+        if (named != null && site.products().indexOf(named) != product) {
             throw new Unusable("two products");
         }
         String owner = message.header("x-tenant-id");
-        int named = owner == null ? -1 : site.tenants().indexOf(owner);
-        tenant = named < 0 ? site.tenants().size() : named;
+        int known = owner == null ? -1 : site.tenants().indexOf(owner);
+        tenant = known < 0 ? site.tenants().size() : known;
         left = millis(message.header("x-timeout-ms"));
         again = "1".equals(message.header("x-retried"));
         Fields body = Json.fields("body", message.body());
         text = body.text("q").getBytes(StandardCharsets.UTF_8);
         parts = new ArrayList<>();
         Set<Integer> shards = new HashSet<>();
-        for (Fields part : body.objects("shards")) {
+        double sum = 0;
+        List<Fields> told = body.objects("shards");
+        keys = new String[told.size()];
+        costs = new boolean[told.size()];
+        for (Fields part : told) {
             int shard = part.index("shard", site.shards());
             double weight = part.number("weight");
             double cost = part.number("cost", 0);
-            if (!shards.add(shard) || !usable(weight) || !usable(cost)) {
+            if (!shards.add(shard) || !usable(weight) || !usable(cost) || cost > LONGEST_TIME.micros()) {
                 throw new Unusable("a part that can't be used");
             }
+            sum += weight;
+            keys[parts.size()] = part.has("key") ? part.text("key") : null;
+            costs[parts.size()] = part.has("cost");
             parts.add(new Taken.Part(shard, weight, Span.ofMillis(cost / 1000)));
         }
-        if (parts.isEmpty() || text.length > LONGEST_TEXT) {
+        if (Math.abs(sum - 1) > ROUNDING) {
+            throw new Unusable("weights that don't add up to 1");
+        }
+        if (text.length > LONGEST_TEXT) {
             throw new Unusable("nothing to read");
         }
     }
@@ -104,7 +127,11 @@
                 || !told.chars().allMatch(c -> c >= '0' && c <= '9') || Integer.parseInt(told) == 0) {
             throw new Unusable("no time that can be used");
         }
-        return Span.ofMillis(Integer.parseInt(told));
+        Span span = Span.ofMillis(Integer.parseInt(told));
+        if (span.longerThan(LONGEST_TIME)) {
+            throw new Unusable("a time beyond what can be meant");
+        }
+        return span;
     }
 
     String id() {
@@ -116,9 +143,37 @@
         return left;
     }
 
-    /** The multiget that was read last, with what is left of its client's time. */
-    Exchange exchange(ClientConnection from, Span ofIt) {
+    /** The multiget that was read last, as routes see it, until the next is read. */
+    Asked asked(Span ofIt) {
+        Asked asked = new Asked();
+        asked.product = site.products().get(product);
+        asked.path = path;
+        asked.method = method;
+        asked.headers = new Headers(message);
+        asked.tenant = tenant < site.tenants().size() ? site.tenants().get(tenant) : null;
+        asked.timeLeft = Math.max(1, ofIt.micros());
+        asked.repeated = again;
+        asked.textSize = text.length;
+        List<Asked.Part> seen = new ArrayList<>(parts.size());
+        for (int i = 0; i < parts.size(); i++) {
+            Taken.Part part = parts.get(i);
+            seen.add(new Asked.Part(part.shard(), part.weight(), costs[i] ? part.work().micros() : -1, keys[i]));
+        }
+        asked.parts = seen;
+        return asked;
+    }
+
+    /** The multiget that was read last, with what is left of its client's time, as it was routed. */
+    Exchange exchange(ClientConnection from, Span ofIt, int asProduct, int asTenant) {
         Span now = new Span(Math.max(1, ofIt.micros()));
-        return new Exchange(from, id, product, tenant, now, again, parts, text);
+        return new Exchange(from, id, asProduct, asTenant, now, again, parts, text);
+    }
+
+    int product() {
+        return product;
+    }
+
+    int tenant() {
+        return tenant;
     }
 }
--- a/src/main/java/gladewing/clients/Responses.java
+++ b/src/main/java/gladewing/clients/Responses.java
@@ -1,9 +1,12 @@
 package gladewing.clients;
 
+import gladewing.router.Span;
+
 /** The heads of responses. */
 final class Responses {
     static final int TIMED_OUT = 408;
     static final int CONFLICT = 409;
+    static final int TOO_MANY = 429;
     static final int UNAVAILABLE = 503;
     static final String GO_ON = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -16,6 +19,11 @@
                 + (keep ? "" : "Connection: close\r\n") + "\r\n";
     }
 
+    /** The header, in seconds, never rounded down to less; empty where nothing is said of when. */
+    static String retryAfter(Span comeBack) {
+        return comeBack.micros() > 0 ? "Retry-After: " + (comeBack.micros() + 999) / 1000 / 1000.0 + "\r\n" : "";
+    }
+
     private static String reason(int status) {
         switch (status) {
             case 200:
@@ -32,6 +40,8 @@
                 return "Conflict";
             case 413:
                 return "Content Too Large";
+            case TOO_MANY:
+                return "Too Many Requests";
             case 431:
                 return "Request Header Fields Too Large";
             case UNAVAILABLE:
--- /dev/null
+++ b/src/main/java/gladewing/expr/Op.java
@@ -0,0 +1,29 @@
+package gladewing.expr;
+
+/** What a node of an expression does. */
+enum Op {
+    LITERAL("a constant"), NAME("a name"), REQUEST("request"), VARIABLE("a variable"), CONDITION("a condition"),
+    FIELD("."), INDEX("[]"), CALL("a call"), LIST("a list"), MAP("a map"), HAS("has"), OR_VALUE("orValue"),
+    NOT("!"), NEGATE("-"), ADD("+"), SUBTRACT("-"), MULTIPLY("*"), DIVIDE("/"), MODULO("%"),
+    EQUAL("=="), UNEQUAL("!="), LESS("<"), AT_MOST("<="), MORE(">"), AT_LEAST(">="), IN("in"),
+    AND("&&"), OR("||"), IF("?:"), ALL("all"), EXISTS("exists"), ONE("exists_one"), FILTER("filter"),
+    TRANSFORM("map");
+
+    final String sign;
+
+    Op(String sign) {
+        this.sign = sign;
+    }
+
+    boolean macro() {
+        return compareTo(ALL) >= 0;
+    }
+
+    boolean comparison() {
+        return compareTo(EQUAL) >= 0 && compareTo(AT_LEAST) <= 0;
+    }
+
+    boolean arithmetic() {
+        return compareTo(ADD) >= 0 && compareTo(MODULO) <= 0;
+    }
+}
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -81,6 +81,10 @@
         return at < 0 ? null : values.get(at);
     }
 
+    public int headers() {
+        return names.size();
+    }
+
     public byte[] body() {
         return body;
     }
--- /dev/null
+++ b/src/main/java/gladewing/routes/Asked.java
@@ -0,0 +1,121 @@
+package gladewing.routes;
+
+import gladewing.expr.Bound;
+import gladewing.expr.Entries;
+import gladewing.expr.Schema;
+import gladewing.expr.Type;
+import gladewing.expr.View;
+import java.util.List;
+
+/** A request as expressions see it. What it is made of must not change until it has been routed. */
+public final class Asked implements View {
+    static final Type REQUEST = Type.record("request");
+    static final Type PART = Type.record("part");
+    private static final int PRODUCT = 0;
+    private static final int PATH = 1;
+    private static final int METHOD = 2;
+    private static final int HEADERS = 3;
+    private static final int TENANT = 4;
+    private static final int TIME_LEFT = 5;
+    private static final int REPEATED = 6;
+    private static final int PART_COUNT = 7;
+    private static final int PARTS = 8;
+    private static final int TEXT_SIZE = 9;
+    private static final int SHARD = 0;
+    private static final int WEIGHT = 1;
+    private static final int COST = 2;
+    private static final int KEY = 3;
+
+    public String product = "";
+    public String path = "";
+    public String method = "";
+    public Entries headers;
+    /** Null where none is named that is known. */
+    public String tenant;
+    /** In microseconds. */
+    public long timeLeft;
+    public boolean repeated;
+    public List<Part> parts = List.of();
+    /** In bytes. */
+    public long textSize;
+
+    /** The cost, in microseconds, is negative and the key null where there is none. */
+    public record Part(long shard, double weight, long cost, String key) implements View {
+        @Override
+        public boolean has(int field) {
+            return field != COST || cost >= 0;
+        }
+
+        @Override
+        public boolean flag(int field) {
+            return false;
+        }
+
+        @Override
+        public long whole(int field) {
+            return field == SHARD ? shard : cost;
+        }
+
+        @Override
+        public double number(int field) {
+            return weight;
+        }
+
+        @Override
+        public Object object(int field) {
+            return key;
+        }
+    }
+
+    /** What of a request is declared to expressions, within the bounds of one file. */
+    public static Schema schema(Bounds bounds) {
+        Bound text = Bound.text(bounds.text());
+        return new Schema(REQUEST)
+                .field(REQUEST, "product", PRODUCT, Type.STRING, text)
+                .field(REQUEST, "path", PATH, Type.STRING, text)
+                .field(REQUEST, "method", METHOD, Type.STRING, text)
+                .field(REQUEST, "headers", HEADERS, Type.MAP, Bound.list(bounds.headers(), text))
+                .field(REQUEST, "tenant", TENANT, Type.STRING, text)
+                .field(REQUEST, "time_left", TIME_LEFT, Type.DURATION, Bound.ONE)
+                .field(REQUEST, "repeated", REPEATED, Type.BOOL, Bound.ONE)
+                .field(REQUEST, "part_count", PART_COUNT, Type.INT, Bound.ONE)
+                .field(REQUEST, "parts", PARTS, Type.list(PART), Bound.list(bounds.parts(), Bound.ONE))
+                .field(REQUEST, "text_size", TEXT_SIZE, Type.INT, Bound.ONE)
+                .field(PART, "shard", SHARD, Type.INT, Bound.ONE)
+                .field(PART, "weight", WEIGHT, Type.DOUBLE, Bound.ONE)
+                .field(PART, "cost", COST, Type.DURATION, Bound.ONE)
+                .field(PART, "key", KEY, Type.STRING, Bound.text(Bounds.LONGEST_PART_KEY));
+    }
+
+    @Override
+    public boolean has(int field) {
+        return true;
+    }
+
+    @Override
+    public boolean flag(int field) {
+        return repeated;
+    }
+
+    @Override
+    public long whole(int field) {
+        return field == TIME_LEFT ? timeLeft : field == PART_COUNT ? parts.size() : textSize;
+    }
+
+    @Override
+    public double number(int field) {
+        return 0;
+    }
+
+    @Override
+    public Object object(int field) {
+        return switch (field) {
+            case PRODUCT -> product;
+            case PATH -> path;
+            case METHOD -> method;
+            case HEADERS -> headers;
+            case TENANT -> tenant;
+            default -> parts;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/routes/Branch.java
@@ -0,0 +1,267 @@
+package gladewing.routes;
+
+import gladewing.expr.Term;
+import gladewing.expr.View;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * A place in the tree that finds a table's routes without asking each of them. A fork looks at one subject of
+ * the request, and leads to the routes that want what it finds there and to those that want nothing of it;
+ * leaves hold routes to be asked. Whatever order branches are gone through in, the route with the lowest
+ * index wins, so the tree changes nothing but the time.
+ */
+abstract class Branch {
+    /** Fewer than these are asked sooner than sorted. */
+    private static final int LEAF = 4;
+    /** A route that wants one of more texts than this would stand in too many places. */
+    private static final int MOST_VALUES = 32;
+    private static final int MOST_ALTERNATIVES = 16;
+    /** A fork that leaves more of the routes than this together is not worth its look-up. */
+    private static final double WORTH = 0.8;
+
+    /** The lowest index of a route below. */
+    final int first;
+
+    Branch(int first) {
+        this.first = first;
+    }
+
+    abstract void search(Table table, View request, boolean counts);
+
+    abstract long cost();
+
+    /** What a route wants of one subject; all its alternatives want something of it. */
+    private record Wants(Set<String> equal, Set<String> prefixes) { }
+
+    private record Row(int index, Route route, Map<Term.Subject, Wants> wants) { }
+
+    static Branch of(List<Route> routes) {
+        List<Row> rows = new ArrayList<>();
+        for (int i = 0; i < routes.size(); i++) {
+            rows.add(new Row(i, routes.get(i), wants(routes.get(i))));
+        }
+        return build(rows, Set.of());
+    }
+
+    private static Map<Term.Subject, Wants> wants(Route route) {
+        Map<Term.Subject, Wants> wants = new LinkedHashMap<>();
+        List<List<Term>> alternatives = route.when.alternatives(MOST_ALTERNATIVES);
+        for (Term term : alternatives.isEmpty() ? List.<Term>of() : alternatives.get(0)) {
+            Wants all = term.subject() == null ? null : wanted(term.subject(), alternatives);
+            if (all != null) {
+                wants.put(term.subject(), all);
+            }
+        }
+        return wants;
+    }
+
+    /** Null where an alternative wants nothing of the subject, or too much. */
+    private static Wants wanted(Term.Subject subject, List<List<Term>> alternatives) {
+        Wants all = new Wants(new LinkedHashSet<>(), new LinkedHashSet<>());
+        for (List<Term> terms : alternatives) {
+            Term best = null;
+            for (Term term : terms) {
+                if (subject.equals(term.subject()) && (best == null || best.form() == Term.Form.PREFIX)) {
+                    best = term;
+                }
+            }
+            if (best == null) {
+                return null;
+            }
+            (best.form() == Term.Form.EQUAL ? all.equal : all.prefixes).addAll(best.values());
+        }
+        return all.equal.size() + all.prefixes.size() <= MOST_VALUES ? all : null;
+    }
+
+    private static Branch build(List<Row> rows, Set<Term.Subject> used) {
+        Term.Subject subject = rows.size() <= LEAF ? null : best(rows, used);
+        if (subject == null) {
+            return new Leaf(rows);
+        }
+        Set<Term.Subject> nowUsed = new LinkedHashSet<>(used);
+        nowUsed.add(subject);
+        Map<String, List<Row>> equal = new LinkedHashMap<>();
+        Map<String, List<Row>> prefixes = new LinkedHashMap<>();
+        List<Row> rest = new ArrayList<>();
+        for (Row row : rows) {
+            Wants wants = row.wants.get(subject);
+            if (wants == null) {
+                rest.add(row);
+                continue;
+            }
+            wants.equal.forEach(value -> equal.computeIfAbsent(value, v -> new ArrayList<>()).add(row));
+            wants.prefixes.forEach(value -> prefixes.computeIfAbsent(value, v -> new ArrayList<>()).add(row));
+        }
+        Map<String, Branch> byValue = new HashMap<>();
+        equal.forEach((value, those) -> byValue.put(value, build(those, nowUsed)));
+        Map<String, Branch> byPrefix = new TreeMap<>();
+        prefixes.forEach((value, those) -> byPrefix.put(value, build(those, nowUsed)));
+        return new Fork(rows.get(0).index, subject, byValue, byPrefix.isEmpty() ? null : new Trie(byPrefix),
+                rest.isEmpty() ? null : build(rest, nowUsed));
+    }
+
+    /** The subject after which the fewest routes are left in the worst case, or null where none is worth it. */
+    private static Term.Subject best(List<Row> rows, Set<Term.Subject> used) {
+        Map<Term.Subject, Map<String, Integer>> sizes = new LinkedHashMap<>();
+        Map<Term.Subject, Integer> wanting = new HashMap<>();
+        for (Row row : rows) {
+            for (Map.Entry<Term.Subject, Wants> wants : row.wants.entrySet()) {
+                if (!used.contains(wants.getKey())) {
+                    wanting.merge(wants.getKey(), 1, Integer::sum);
+                    Map<String, Integer> counts = sizes.computeIfAbsent(wants.getKey(), s -> new HashMap<>());
+                    wants.getValue().equal.forEach(value -> counts.merge("=" + value, 1, Integer::sum));
+                    wants.getValue().prefixes.forEach(value -> counts.merge("^" + value, 1, Integer::sum));
+                }
+            }
+        }
+        Term.Subject best = null;
+        double least = rows.size() * WORTH;
+        for (Map.Entry<Term.Subject, Map<String, Integer>> subject : sizes.entrySet()) {
+            int largest = subject.getValue().values().stream().mapToInt(n -> n).max().orElse(0);
+            int left = rows.size() - wanting.get(subject.getKey()) + largest;
+            if (left < least) {
+                least = left;
+                best = subject.getKey();
+            }
+        }
+        return best;
+    }
+
+    static long sum(long a, long b) {
+        return Math.min(Long.MAX_VALUE / 4, a + b);
+    }
+
+    /** Routes that are asked one after the other. */
+    private static final class Leaf extends Branch {
+        private final int[] routes;
+        private final long cost;
+
+        Leaf(List<Row> rows) {
+            super(rows.isEmpty() ? Integer.MAX_VALUE : rows.get(0).index);
+            routes = rows.stream().mapToInt(Row::index).toArray();
+            long all = 0;
+            for (Row row : rows) {
+                all = sum(all, Math.min(Long.MAX_VALUE / 4, row.route.cost()));
+            }
+            cost = all;
+        }
+
+        @Override
+        void search(Table table, View request, boolean counts) {
+            for (int route : routes) {
+                if (route >= table.limit()) {
+                    return;
+                }
+                table.ask(route, counts);
+            }
+        }
+
+        @Override
+        long cost() {
+            return cost;
+        }
+    }
+
+    private static final class Fork extends Branch {
+        private final Term.Subject subject;
+        private final Map<String, Branch> byValue;
+        private final Trie byPrefix;
+        private final Branch rest;
+
+        Fork(int first, Term.Subject subject, Map<String, Branch> byValue, Trie byPrefix, Branch rest) {
+            super(first);
+            this.subject = subject;
+            this.byValue = byValue;
+            this.byPrefix = byPrefix;
+            this.rest = rest;
+        }
+
+        @Override
+        void search(Table table, View request, boolean counts) {
+            String value = subject.of(request);
+            if (value != null) {
+                search(byValue.get(value), table, request, counts);
+                for (Trie at = byPrefix, next = at; at != null; at = next) {
+                    search(at.here, table, request, counts);
+                    next = at.next(value);
+                }
+            }
+            search(rest, table, request, counts);
+        }
+
+        private static void search(Branch branch, Table table, View request, boolean counts) {
+            if (branch != null && branch.first < table.limit()) {
+                branch.search(table, request, counts);
+            }
+        }
+
+        @Override
+        long cost() {
+            long most = 0;
+            for (Branch branch : byValue.values()) {
+                most = Math.max(most, branch.cost());
+            }
+            return sum(sum(most, byPrefix == null ? 0 : byPrefix.cost()),
+                    sum(rest == null ? 0 : rest.cost(), subject.key() == null ? 16 : subject.field().bound().size()));
+        }
+    }
+
+    /** Prefixes by their letters: a place goes on by the letters up to the next prefix or parting. */
+    private static final class Trie {
+        private final int depth;
+        private Branch here;
+        private final Map<Character, Trie> byLetter = new HashMap<>();
+        private final String letters;
+
+        Trie(Map<String, Branch> prefixes) {
+            this("", prefixes);
+        }
+
+        /** All prefixes begin with the letters. */
+        private Trie(String letters, Map<String, Branch> prefixes) {
+            this.letters = letters;
+            depth = letters.length();
+            Map<Character, Map<String, Branch>> parted = new TreeMap<>();
+            prefixes.forEach((prefix, branch) -> {
+                if (prefix.length() == depth) {
+                    here = branch;
+                } else {
+                    parted.computeIfAbsent(prefix.charAt(depth), c -> new TreeMap<>()).put(prefix, branch);
+                }
+            });
+            parted.forEach((letter, those) -> byLetter.put(letter, new Trie(common(those.keySet()), those)));
+        }
+
+        private static String common(Set<String> texts) {
+            String common = texts.iterator().next();
+            for (String text : texts) {
+                int same = 0;
+                while (same < Math.min(common.length(), text.length()) && common.charAt(same) == text.charAt(same)) {
+                    same++;
+                }
+                common = common.substring(0, same);
+            }
+            return common;
+        }
+
+        Trie next(String value) {
+            Trie next = value.length() > depth ? byLetter.get(value.charAt(depth)) : null;
+            return next != null && value.startsWith(next.letters) ? next : null;
+        }
+
+        long cost() {
+            long most = 0;
+            for (Trie next : byLetter.values()) {
+                most = Math.max(most, next.cost());
+            }
+            return sum(sum(here == null ? 0 : here.cost(), most), 2);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/routes/Cover.java
@@ -0,0 +1,153 @@
+package gladewing.routes;
+
+import gladewing.expr.Term;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Finds routes that can never match because those above take all they could. Each condition is taken apart
+ * into alternatives of terms; an alternative is covered where one above wants no more than it. Where a
+ * condition has too many to be taken apart, nothing can be told of it.
+ */
+final class Cover {
+    static final String UNDECIDED = "can't be told";
+    private static final int MOST_ALTERNATIVES = 64;
+    /** Beyond it a table is looked through only in part: the check must not take longer than to serve. */
+    private static final int MOST_COMPARED = 5_000_000;
+    private static final int LONGEST_PREFIX = 256;
+
+    private record Above(Route route, List<Term> terms) { }
+
+    /** By one term of each: only what has that term, or one that holds where it does, can be covered. */
+    private final Map<String, List<Above>> acting = new HashMap<>();
+    private final Map<String, List<Above>> observing = new HashMap<>();
+    private final Map<String, Integer> seen = new HashMap<>();
+    private int compared;
+
+    /** Why a route can never match below those that were added before; null where it can, or may. */
+    String add(Route route) {
+        List<List<Term>> all = route.when.alternatives(MOST_ALTERNATIVES);
+        List<Above> covering = new ArrayList<>();
+        boolean possible = false;
+        boolean open = false;
+        for (List<Term> alternative : all) {
+            if (contradictory(alternative)) {
+                continue;
+            }
+            possible = true;
+            for (List<Term> single : singles(alternative)) {
+                Above above = find(acting, single);
+                above = above == null && route.observes ? find(observing, single) : above;
+                open |= above == null;
+                if (above != null && !covering.contains(above)) {
+                    covering.add(above);
+                }
+            }
+        }
+        // A key that has no value is no match: what goes on to the next route is not covered.
+        if (route.key == null) {
+            all.forEach(terms -> put(route, terms));
+        }
+        if (!possible) {
+            return "it can never be true: two of its tests exclude each other";
+        }
+        if (!open) {
+            List<String> names = covering.stream().map(above -> above.route.name).distinct().limit(4).toList();
+            return "it can never match: all it could take is taken above, by " + String.join(", ", names);
+        }
+        return compared > MOST_COMPARED ? UNDECIDED + " whether it can ever match: the table is too large" : null;
+    }
+
+    private static boolean contradictory(List<Term> terms) {
+        for (int i = 0; i < terms.size(); i++) {
+            if (terms.get(i).text().equals("Boolean:false;")) {
+                return true;
+            }
+            for (int j = 0; j < i; j++) {
+                if (terms.get(i).excludes(terms.get(j))) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** One of several texts is covered also where each is by another route: so they are looked at one by one. */
+    private static List<List<Term>> singles(List<Term> terms) {
+        List<List<Term>> all = List.of(terms);
+        for (Term term : terms) {
+            if (term.form() == Term.Form.EQUAL && term.values().size() > 1
+                    && all.size() * term.values().size() <= MOST_ALTERNATIVES) {
+                List<List<Term>> more = new ArrayList<>();
+                for (List<Term> so : all) {
+                    for (String value : term.values()) {
+                        List<Term> single = new ArrayList<>(so);
+                        single.set(single.indexOf(term), new Term(term.form(), term.subject(), List.of(value),
+                                term.text()));
+                        more.add(single);
+                    }
+                }
+                all = more;
+            }
+        }
+        return all;
+    }
+
+    private Above find(Map<String, List<Above>> where, List<Term> terms) {
+        Above above = among(where.get(""), terms);
+        for (Term term : terms) {
+            if (above == null && term.form() == Term.Form.OTHER) {
+                above = among(where.get("=" + term.text()), terms);
+            } else if (above == null) {
+                String value = term.values().get(0);
+                above = among(where.get(key(term.subject(), "=", value)), terms);
+                for (int n = 0; above == null && n <= Math.min(value.length(), LONGEST_PREFIX); n++) {
+                    above = among(where.get(key(term.subject(), "^", value.substring(0, n))), terms);
+                }
+            }
+        }
+        return above;
+    }
+
+    private Above among(List<Above> those, List<Term> terms) {
+        if (those == null) {
+            return null;
+        }
+        for (Above above : those) {
+            if (++compared > MOST_COMPARED) {
+                return null;
+            }
+            if (above.terms.stream().allMatch(a -> terms.stream().anyMatch(a::holdsWhere))) {
+                return above;
+            }
+        }
+        return null;
+    }
+
+    private static String key(Term.Subject subject, String kind, String value) {
+        return kind + subject.field().name() + '[' + subject.key() + ']' + value;
+    }
+
+    /** Kept under the term that the fewest have so far. */
+    private void put(Route route, List<Term> terms) {
+        List<String> best = List.of("");
+        int fewest = Integer.MAX_VALUE;
+        for (Term term : terms) {
+            List<String> keys = term.form() == Term.Form.OTHER ? List.of("=" + term.text()) : term.values().stream()
+                    .map(value -> key(term.subject(), term.form() == Term.Form.EQUAL ? "=" : "^", value)).toList();
+            int had = 0;
+            for (String key : keys) {
+                had += seen.merge(key, 1, Integer::sum);
+            }
+            if (had < fewest) {
+                fewest = had;
+                best = keys;
+            }
+        }
+        Above above = new Above(route, terms);
+        Map<String, List<Above>> where = route.observes ? observing : acting;
+        best.forEach(key -> where.computeIfAbsent(key, k -> new ArrayList<>()).add(above));
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/routes/Route.java
@@ -0,0 +1,63 @@
+package gladewing.routes;
+
+import gladewing.expr.Compiled;
+import gladewing.expr.Expression;
+
+/** One row of a table: what it takes, and what is done with that. */
+public final class Route {
+    public final String name;
+    public final boolean observes;
+    public final Expression when;
+    /** Null where there is none. */
+    public final Expression key;
+    /** Null where the request's own stays; the index is -1 where no site was given. */
+    public final String product;
+    final int productIndex;
+    public final String tenant;
+    final int tenantIndex;
+    /** Null where there is none. */
+    public final String limitName;
+    /** How long one that is turned away is to wait, in microseconds; negative where none is. */
+    public final long turnAway;
+    /** All routes that name it share it, but those that observe among themselves; null where none is named. */
+    KeyedLimit limit;
+    final Compiled.Bool condition;
+    final Compiled.Whole keyCode;
+    long matched;
+    long limited;
+    long noValue;
+
+    Route(String name, boolean observes, Expression when, Expression key, String product, int productIndex,
+            String tenant, int tenantIndex, String limitName, KeyedLimit limit, long turnAway) {
+        this.name = name;
+        this.observes = observes;
+        this.when = when;
+        this.key = key;
+        this.product = product;
+        this.productIndex = productIndex;
+        this.tenant = tenant;
+        this.tenantIndex = tenantIndex;
+        this.limitName = limitName;
+        this.limit = limit;
+        this.turnAway = turnAway;
+        condition = when.bool();
+        keyCode = key == null ? null : key.key();
+    }
+
+    /** The most steps that one request can cost here. */
+    public long cost() {
+        return when.cost() + (key == null ? 0 : key.cost());
+    }
+
+    public long matched() {
+        return matched;
+    }
+
+    public long limited() {
+        return limited;
+    }
+
+    public long noValue() {
+        return noValue;
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/routes/RouteFile.java
@@ -0,0 +1,303 @@
+package gladewing.routes;
+
+import gladewing.expr.Environment;
+import gladewing.expr.Expression;
+import gladewing.expr.Mention;
+import gladewing.expr.Problem;
+import gladewing.expr.Schema;
+import gladewing.expr.Type;
+import gladewing.settings.Fault;
+import gladewing.settings.Faulty;
+import gladewing.settings.IniFile;
+import gladewing.settings.Near;
+import gladewing.settings.Section;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** Makes a table of a settings file, or tells every fault in it: a table is whole or there is none. */
+public final class RouteFile {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.-]{1,64}");
+    private static final int MOST_ROUTES = 20_000;
+    private static final int MOST_NAMED = 1_000;
+    private static final int MOST_KEYS = 1 << 20;
+    private static final int MOST_BURST = 1_000_000;
+    private static final long DAY_MICROS = 86_400_000_000L;
+
+    /** The buckets of routes that act, and of those that observe: what these use up holds nothing back. */
+    private record Limit(KeyedLimit acting, KeyedLimit observing) {
+        KeyedLimit of(boolean observes) {
+            return observes ? observing : acting;
+        }
+    }
+
+    private final IniFile file;
+    private final Site site;
+    private final Rules rules;
+    private final Bounds bounds;
+    private final Environment names;
+    private final Map<String, Limit> limits = new HashMap<>();
+    private final List<Route> routes = new ArrayList<>();
+    private final List<Fault> warnings = new ArrayList<>();
+    private int slots;
+
+    private RouteFile(IniFile file, Site site) {
+        this.file = file;
+        this.site = site;
+        bounds = Bounds.read(file.section("bounds")).within(site);
+        names = new Environment(Asked.schema(bounds));
+        rules = new Rules(site);
+    }
+
+    /** What was found: no table where there are faults. */
+    public record Outcome(Table table, List<Fault> faults, List<Fault> warnings) { }
+
+    /** What expressions see, with the bounds of a file that states none. */
+    public static Schema schema() {
+        return Asked.schema(Bounds.read(IniFile.of("", "").section("bounds")));
+    }
+
+    /** The site may be null: then the names of products and tenants are taken as they stand. */
+    public static Outcome check(IniFile file, Site site) {
+        RouteFile routes = new RouteFile(file, site);
+        Table table = routes.read();
+        return new Outcome(file.faults().isEmpty() ? table : null, file.faults(), routes.warnings);
+    }
+
+    /** @throws Faulty with every fault of the file */
+    public static Table read(String path, Site site) {
+        Outcome outcome = check(IniFile.read(path), site);
+        if (outcome.table == null) {
+            throw new Faulty(outcome.faults);
+        }
+        return outcome.table;
+    }
+
+    private Table read() {
+        for (Section section : file.sections()) {
+            String kind = section.name.split(" ", 2)[0];
+            boolean known = List.of("bounds", "constants", "conditions").contains(section.name)
+                    || (kind.equals("route") || kind.equals("limit")) && section.name.contains(" ");
+            if (!known) {
+                String near = Near.of(kind, List.of("bounds", "constants", "conditions", "route", "limit"));
+                section.fault("", "no such section, wanted: [bounds], [constants], [conditions], [limit NAME] or "
+                        + "[route NAME]" + (near != null && !near.equals(kind) ? "; did you mean " + near + "?" : ""));
+            }
+        }
+        named();
+        for (Section section : file.sections()) {
+            if (section.name.startsWith("limit ")) {
+                limit(section);
+            }
+        }
+        for (Section section : file.sections()) {
+            if (section.name.startsWith("route ")) {
+                route(section);
+            }
+        }
+        if (routes.size() > MOST_ROUTES) {
+            file.fault("", "", routes.size() + " routes, wanted: at most " + MOST_ROUTES);
+            return null;
+        }
+        covered();
+        Table table = new Table(routes, slots);
+        if (table.cost() > bounds.tableSteps()) {
+            file.fault("", "", "one request may cost " + table.cost() + " steps, wanted: at most "
+                    + bounds.tableSteps() + " (table-steps in [bounds]); routes whose conditions begin with a "
+                    + "comparison of a field with a text are found without asking them all");
+        }
+        return table;
+    }
+
+    /** Constants, then conditions, each after what it names; circles are faults of all that are in them. */
+    private void named() {
+        Section constants = file.section("constants");
+        Section conditions = file.section("conditions");
+        Map<String, Section> where = new LinkedHashMap<>();
+        constants.keys().forEach(name -> where.put(name, constants));
+        for (String name : conditions.keys()) {
+            if (where.putIfAbsent(name, conditions) != null) {
+                conditions.fault(name, "this is a constant already, wanted: each name once");
+            }
+        }
+        if (where.size() > MOST_NAMED) {
+            file.fault("", "", where.size() + " constants and conditions, wanted: at most " + MOST_NAMED);
+            return;
+        }
+        Order order = new Order(where.keySet(), name -> Environment.names(where.get(name).text(name)));
+        order.circles.forEach((name, circle) -> {
+            where.get(name).fault(name, "it is made of itself: " + circle);
+            names.faulty(name);
+        });
+        for (String name : order.sorted) {
+            List<Problem> problems = new ArrayList<>();
+            Section section = where.get(name);
+            String text = section.text(name);
+            if (section == constants) {
+                names.constant(name, text, bounds.routeSteps(), problems);
+            } else {
+                Expression condition = names.condition(name, text, problems);
+                affordable(section, name, condition);
+                existing(section, name, condition);
+            }
+            problems.forEach(problem -> section.fault(name, problem.toString()));
+        }
+    }
+
+    private void limit(Section section) {
+        String name = section.name.substring("limit ".length());
+        section.only("rate", "burst", "keys", "of");
+        double rate = section.number("rate", 1, 0.001, 1_000_000);
+        if (!section.has("rate")) {
+            section.fault("rate", "missing, wanted: how many a second a key may have, such as 5 or 0.2");
+        }
+        double burst = section.number("burst", Math.max(1, rate), 1, MOST_BURST);
+        int keys = (int) section.whole("keys", 4096, 8, MOST_KEYS);
+        boolean shared = section.word("of", List.of("all-routers", "each-router")).equals("all-routers");
+        int routers = shared && site != null ? Math.max(1, site.routers()) : 1;
+        goodName(section, name);
+        limits.put(name, new Limit(new KeyedLimit(name, rate / routers, Math.max(1, burst / routers), keys),
+                new KeyedLimit(name, rate / routers, Math.max(1, burst / routers), keys)));
+    }
+
+    private void goodName(Section section, String name) {
+        if (!NAME.matcher(name).matches()) {
+            section.fault("", "'" + name + "' can't be a name, wanted: up to 64 letters, digits, dots, - and _");
+        }
+    }
+
+    private void route(Section section) {
+        String name = section.name.substring("route ".length());
+        goodName(section, name);
+        section.only("when", "mode", "product", "tenant", "key", "limit", "turn-away");
+        boolean observes = section.word("mode", List.of("act", "observe")).equals("observe");
+        Expression when = expression(section, "when", Type.BOOL);
+        if (!section.has("when")) {
+            section.fault("when", "missing, wanted: a condition, such as request.product == 'report' (or true)");
+        }
+        Expression key = expression(section, "key", null);
+        if (key != null && !key.type().equals(Type.INT) && !key.type().equals(Type.STRING)) {
+            section.fault("key", "this is " + key.type() + ", wanted: a string or an int; hash(...) makes one of any");
+            key = null;
+        }
+        String productName = named(section, "product");
+        String tenantName = named(section, "tenant");
+        String limitName = named(section, "limit");
+        int product = index(section, "product", productName, site == null ? null : site.products());
+        int tenant = index(section, "tenant", tenantName, site == null ? null : site.tenants());
+        if (limitName != null && !limits.containsKey(limitName)) {
+            String near = Near.of(limitName, limits.keySet());
+            section.fault("limit", "there is no [limit " + limitName + "]" + (near == null ? "" : ", did you mean "
+                    + near + "?"));
+        }
+        long away = section.micros("turn-away", -1, 0, DAY_MICROS);
+        if (section.has("turn-away")) {
+            for (String other : List.of("product", "tenant", "limit", "key")) {
+                if (section.has(other)) {
+                    section.fault(other, "nothing is left to do with what is turned away, wanted: turn-away alone");
+                }
+            }
+        }
+        if (when == null) {
+            return;
+        }
+        existing(section, "when", when);
+        existing(section, "key", key);
+        rules.check(section, when, product);
+        Limit limit = limits.get(limitName);
+        routes.add(new Route(name, observes, when, key, productName, product, tenantName, tenant,
+                limitName, limit == null ? null : limit.of(observes), away));
+        slots = Math.max(slots, Math.max(when.slots(), key == null ? 0 : key.slots()));
+    }
+
+    private Expression expression(Section section, String key, Type wanted) {
+        String text = section.text(key);
+        if (text == null) {
+            return null;
+        }
+        List<Problem> problems = new ArrayList<>();
+        Expression expression = names.expression(text, wanted, problems);
+        problems.forEach(problem -> section.fault(key, problem.toString()));
+        return affordable(section, key, expression) ? expression : null;
+    }
+
+    private boolean affordable(Section section, String key, Expression expression) {
+        if (expression != null && expression.cost() > bounds.routeSteps()) {
+            section.fault(key, expression.tooDear(bounds.routeSteps()) + " (route-steps in [bounds])");
+            return false;
+        }
+        return expression != null;
+    }
+
+    /** A name as it stands, or as a text of the language: in quotation marks, or a constant's. */
+    private String named(Section section, String key) {
+        String text = section.text(key);
+        if (text == null || NAME.matcher(text).matches()) {
+            return text;
+        }
+        Expression quoted = expression(section, key, Type.STRING);
+        if (quoted != null && !quoted.literal()) {
+            section.fault(key, "this asks the request, wanted: a name, such as 'sheet'");
+        }
+        return quoted == null || !quoted.literal() ? null : (String) quoted.value(null);
+    }
+
+    private int index(Section section, String key, String name, List<String> known) {
+        if (name == null || known == null) {
+            return -1;
+        }
+        if (!known.contains(name)) {
+            section.fault(key, "the site has no " + key + " " + name + meant(name, known));
+        }
+        return known.indexOf(name);
+    }
+
+    private static String meant(String name, List<String> known) {
+        String near = Near.of(name, known);
+        return near != null ? ", did you mean " + near + "?" : known.isEmpty() ? ", it names none"
+                : ", wanted: " + String.join(", ", known);
+    }
+
+    /** Names in conditions that the site does not have: such a test is never true, and hardly meant. */
+    private void existing(Section section, String key, Expression of) {
+        if (site == null || of == null) {
+            return;
+        }
+        missing(section, key, of, "product", site.products());
+        missing(section, key, of, "tenant", site.tenants());
+        for (Mention shard : of.mentions(names.schema().field(Asked.PART, "shard"))) {
+            if (shard.value() instanceof Long number && (number < 0 || number >= site.shards())) {
+                section.fault(key, new Problem(of.text, shard.at(), "the site has no shard " + number
+                        + ", wanted: 0 to " + (site.shards() - 1)).toString());
+            }
+        }
+    }
+
+    private void missing(Section section, String key, Expression of, String field, List<String> known) {
+        for (Mention mention : of.mentions(names.schema().field(field))) {
+            if (mention.value() instanceof String name && !known.contains(name)) {
+                section.fault(key, new Problem(of.text, mention.at(), "the site has no " + field + " " + name
+                        + meant(name, known)).toString());
+            }
+        }
+    }
+
+    private void covered() {
+        Cover cover = new Cover();
+        for (Route route : routes) {
+            String why = cover.add(route);
+            if (why == null) {
+                continue;
+            }
+            Fault fault = new Fault(file.name, "route " + route.name, "when", why);
+            if (why.startsWith(Cover.UNDECIDED)) {
+                warnings.add(fault);
+            } else {
+                file.fault(fault.section(), fault.key(), why);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/routes/Rules.java
@@ -0,0 +1,77 @@
+package gladewing.routes;
+
+import gladewing.expr.Expression;
+import gladewing.router.Settings;
+import gladewing.settings.Section;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Whether a route could weaken what the products' settings promise. What is asked as one product is held to
+ * that one's effect, shares and time, whatever product it is served as.
+ */
+final class Rules {
+    private final Site site;
+
+    /** The site may be null: nothing can be said then. */
+    Rules(Site site) {
+        this.site = site;
+    }
+
+    /** Each product that the route may take is held against the one it sets; -1 is none. */
+    void check(Section section, Expression when, int product) {
+        if (site == null) {
+            return;
+        }
+        boolean takesAny = false;
+        for (int asked = 0; asked < site.products().size(); asked++) {
+            Map<String, Object> known = new HashMap<>();
+            known.put("product", site.products().get(asked));
+            // The door lets nothing else in.
+            known.put("method", "POST");
+            if (!when.possible(known)) {
+                continue;
+            }
+            takesAny = true;
+            if (product >= 0 && product != asked) {
+                weaker(section, asked, product);
+            }
+        }
+        if (!takesAny) {
+            section.fault("when", "it is true for no product of the site, so the route can never match");
+        }
+    }
+
+    private void weaker(Section section, int asked, int product) {
+        Settings.Product from = site.rows().get(asked);
+        Settings.Product to = site.rows().get(product);
+        String why = null;
+        if (to.effect().compareTo(from.effect()) < 0) {
+            why = "its effect, " + word(to.effect()) + ", is weaker than " + word(from.effect()) + " (rule 2)";
+        } else if (to.effect() == Settings.Effect.TAGGED && from.effect() == Settings.Effect.TAGGED
+                && to.repeatWindow().longerThan(from.repeatWindow())) {
+            why = "its repeat window, " + to.repeatWindow().millis() + " ms, is longer than "
+                    + from.repeatWindow().millis() + " ms (rule 2)";
+        } else if (to.leastShare() < from.leastShare()) {
+            why = "its least share, " + to.leastShare() + ", is below " + from.leastShare() + " (rule 5)";
+        } else if (to.wholeShare() < from.wholeShare()) {
+            why = "its whole share, " + to.wholeShare() + ", is below " + from.wholeShare() + " (rule 5)";
+        } else if (to.limit().longerThan(from.limit())) {
+            why = "its time limit, " + to.limit().millis() + " ms, is longer than " + from.limit().millis()
+                    + " ms (rule 1)";
+        }
+        if (why != null) {
+            section.fault("product", "a multiget of " + site.products().get(asked) + " can't be served as "
+                    + site.products().get(product) + ": " + why
+                    + "; where the route is not meant for that product, its condition must say so");
+        }
+    }
+
+    private static String word(Settings.Effect effect) {
+        return switch (effect) {
+            case REPEATABLE -> "repeatable";
+            case TAGGED -> "tagged";
+            case ONCE_ONLY -> "once-only";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/routes/Table.java
@@ -0,0 +1,160 @@
+package gladewing.routes;
+
+import gladewing.expr.Compiled;
+import gladewing.expr.View;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Routes in their order, the first that matches wins. A route that observes is counted where it would have
+ * won, and then the search goes on. A condition that has no value is no match. Asked by one thread.
+ */
+public final class Table {
+    private final List<Route> routes;
+    private final Branch root;
+    private final Compiled.Frame frame;
+    private final Decision decision = new Decision();
+    /** The routes before this one may still win. */
+    private int limit;
+    private int observed;
+
+    Table(List<Route> routes, int slots) {
+        this.routes = List.copyOf(routes);
+        root = Branch.of(this.routes);
+        frame = new Compiled.Frame(slots);
+    }
+
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /** The most steps that one request can cost, whatever it brings. */
+    public long cost() {
+        return root.cost();
+    }
+
+    /** Routes one request, once: limits are used up, and routes counted. Now is in microseconds. */
+    public Decision route(View request, long nowMicros) {
+        search(request, true);
+        decision.dismissed = false;
+        decision.keyed = false;
+        decision.comeBack = 0;
+        if (decision.observed != null) {
+            takeOver(decision.observed, request, nowMicros);
+        }
+        Route won = decision.route;
+        if (won != null) {
+            long wait = takeOver(won, request, nowMicros);
+            decision.dismissed = wait >= 0;
+            decision.comeBack = Math.max(0, wait);
+        }
+        return decision;
+    }
+
+    /** Which routes would win, with nothing counted and no limit used up. */
+    public Decision which(View request) {
+        search(request, false);
+        return decision;
+    }
+
+    /** The same by asking one route after the other: what the search must agree with. */
+    public Decision plainly(View request) {
+        begin(request);
+        for (int i = 0; i < routes.size() && i < limit; i++) {
+            ask(i, false);
+        }
+        return end();
+    }
+
+    private void search(View request, boolean counts) {
+        begin(request);
+        root.search(this, request, counts);
+        end();
+    }
+
+    private void begin(View request) {
+        frame.of(request);
+        limit = routes.size();
+        observed = routes.size();
+    }
+
+    private Decision end() {
+        frame.of(null);
+        decision.route = limit < routes.size() ? routes.get(limit) : null;
+        decision.observed = observed < limit ? routes.get(observed) : null;
+        return decision;
+    }
+
+    /** The first route that can't win any more. */
+    int limit() {
+        return limit;
+    }
+
+    void ask(int index, boolean counts) {
+        Route route = routes.get(index);
+        if (route.observes && index > observed) {
+            return;
+        }
+        int matches = route.condition.at(frame);
+        if (matches == Compiled.TRUE && route.keyCode != null) {
+            route.keyCode.at(frame);
+            matches = frame.none() ? Compiled.NONE : matches;
+            frame.of(request());
+        }
+        if (matches == Compiled.NONE && counts) {
+            route.noValue++;
+        }
+        if (matches == Compiled.TRUE) {
+            observed = route.observes ? index : observed;
+            limit = route.observes ? limit : index;
+        }
+    }
+
+    private View request() {
+        return frame.request();
+    }
+
+    /** How long it is to wait where it is turned away, else -1; of one that observes it is only counted. */
+    private long takeOver(Route won, View request, long nowMicros) {
+        won.matched++;
+        long key = 0;
+        if (won.keyCode != null) {
+            key = won.keyCode.at(frame.of(request));
+            frame.of(null);
+            decision.keyed |= !won.observes;
+            decision.key = won.observes ? decision.key : key;
+        }
+        long wait = won.turnAway >= 0 ? won.turnAway : won.limit == null ? -1 : won.limit.ask(key, nowMicros);
+        boolean dismissed = won.turnAway >= 0 || wait > 0;
+        won.limited += dismissed ? 1 : 0;
+        return dismissed ? wait : -1;
+    }
+
+    /** Goes on with the limits of the table before it, where they are the same. */
+    public void follow(Table before) {
+        for (Route route : routes) {
+            for (Route old : before.routes) {
+                if (route.limit != null && route.observes == old.observes && route.limit.continues(old.limit)) {
+                    route.limit = old.limit;
+                    break;
+                }
+            }
+        }
+    }
+
+    /** A line for each route that has counted anything, in the table's order. */
+    public List<String> counts() {
+        List<String> lines = new ArrayList<>();
+        for (Route route : routes) {
+            if (route.matched + route.noValue > 0) {
+                lines.add("route " + route.name + ": " + (route.observes ? "would have taken " : "took ")
+                        + route.matched + (route.limited > 0 ? route.observes ? ", would have turned away "
+                        : ", turned away " + route.limited : "")
+                        + (route.noValue > 0 ? ", no value " + route.noValue : "")
+                        + (route.limit != null && route.limit.forgotten() > 0
+                        ? ", keys forgotten " + route.limit.forgotten() : ""));
+            }
+        }
+        return lines;
+    }
+}
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -2,6 +2,9 @@
 
 import gladewing.config.Config;
 import gladewing.json.Unusable;
+import gladewing.routes.RouteFile;
+import gladewing.routes.Table;
+import gladewing.settings.Faulty;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -9,6 +12,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.logging.Logger;
 import sun.misc.Signal;
 
@@ -17,29 +21,31 @@
     private Program() { }
 
     /** Serves until it is told to end; the result is the process's exit code. */
-    public static int run(String configPath, PrintStream complaints) {
+    public static int run(String configPath, String routesPath, PrintStream complaints) {
         Logs.install();
         try {
             if (configPath == null) {
                 throw new Unusable("RELAY_CONFIG is not set");
             }
             Config config = Config.read(configPath);
+            Table table = routesPath == null ? null : RouteFile.read(routesPath, Routing.site(config));
             MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
             Rehearsal.play(config);
             Bootstrap bootstrap = Serve.bootstrap(thread);
             Serve serve = thread.submit(() -> new Serve(thread, config,
                     (handler, to) -> bootstrap.clone().handler(handler).connect(to))).get();
+            Routing routing = table == null ? null : new Routing(routesPath, config, serve, thread, table);
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
                 throw new Unusable("can't listen on " + config.listen() + ": "
                         + listening.cause().getMessage());
             }
-            Signal.handle(new Signal("HUP"), hangup -> reread(configPath, thread, serve));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending()), "ending"));
+            Signal.handle(new Signal("HUP"), hangup -> reread(configPath, thread, serve, routing));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending(), routing), "ending"));
             group.terminationFuture().await();
             return 0;
-        } catch (Unusable bad) {
+        } catch (Unusable | Faulty bad) {
             complaints.println("serve: " + bad.getMessage());
         } catch (ExecutionException fault) {
             complaints.println("serve: " + fault.getCause().getMessage());
@@ -53,7 +59,8 @@
      * Without a handler SIGHUP ends a JVM. Each comes on a thread of its own: the file is read there, so that
      * the loop goes on, and one at a time, so that the file that was read last is the one that stays.
      */
-    private static synchronized void reread(String configPath, EventLoop thread, Serve serve) {
+    private static synchronized void reread(String configPath, EventLoop thread, Serve serve,
+            Routing routing) {
         try {
             Config fresh = Config.read(configPath);
             thread.execute(() -> serve.configure(fresh));
@@ -62,14 +69,22 @@
             Logger.getLogger(Program.class.getName()).warning("the configuration in use stays, the new one can't be used: "
                     + bad.getMessage());
         }
+        if (routing != null) {
+            routing.reread();
+        }
     }
 
-    private static void end(EventLoop thread, Ending ending) {
+    private static void end(EventLoop thread, Ending ending, Routing routing) {
         try {
             thread.execute(ending::begin);
             ending.await();
+            if (routing != null) {
+                thread.submit(routing::tell).get();
+            }
         } catch (InterruptedException ended) {
             Thread.currentThread().interrupt();
+        } catch (ExecutionException | RejectedExecutionException fault) {
+            // The counts are lost, not the end.
         }
         Logs.flush();
     }
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -22,6 +22,7 @@
 import gladewing.router.Settings;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.routes.Table;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -106,6 +107,11 @@
                 .childOption(ChannelOption.TCP_NODELAY, true), config.listen());
     }
 
+    /** On the loop's thread: from the next request on. */
+    void route(Table table) {
+        clients.route(table);
+    }
+
     /** On the loop's thread: what a running program can take on is where discovery is. */
     void configure(Config fresh) {
         loop.pass();
