--- a/src/main/java/gladewing/Main.java
+++ b/src/main/java/gladewing/Main.java
@@ -21,7 +21,8 @@
         if (command.equals("routes") || command.equals("expr")) {
             System.exit(Commands.run(args, System.out, System.err));
         }
-        System.err.println("usage: java -jar gladewing.jar benchlink | serve [--routes FILE] | routes | expr");
+        System.err.println("usage: java -jar gladewing.jar "
+                + "benchlink | serve [--routes FILE] | routes | expr");
         System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output\n"
                 + "  serve       be a router on sockets; RELAY_CONFIG names its configuration\n"
                 + "  routes      check, explain and replay a table of routes; routes --help\n"
--- a/src/main/java/gladewing/cli/Commands.java
+++ b/src/main/java/gladewing/cli/Commands.java
@@ -21,7 +21,9 @@
     @Spec
     private CommandSpec spec;
 
-    /** The result is the exit code: 0 where all is good, 1 where what was looked at is not, 2 for wrong usage. */
+    /**
+     * The result is the exit code: 0 where all is good, 1 where what was looked at is not, 2 for wrong usage.
+     */
     public static int run(String[] args, PrintStream out, PrintStream err) {
         CommandLine line = new CommandLine(new Commands())
                 .setOut(new PrintWriter(out, true, StandardCharsets.UTF_8))
--- a/src/main/java/gladewing/cli/ExprCommand.java
+++ b/src/main/java/gladewing/cli/ExprCommand.java
@@ -28,7 +28,8 @@
     }
 
     @Command(name = "eval", mixinStandardHelpOptions = true,
-            description = "Prints an expression's type, greatest cost, steps and value, and those of its parts.")
+            description = "Prints an expression's type, greatest cost, steps and value, "
+                    + "and those of its parts.")
     int eval(@Parameters(paramLabel = "EXPRESSION") String text,
             @Option(names = "--request", required = true, paramLabel = "REQUEST.json") String request) {
         List<Problem> problems = new ArrayList<>();
@@ -40,7 +41,8 @@
         Asked asked = Requests.one(request);
         spec.commandLine().getOut().println(expression.shownValue(asked) + " (" + expression.type() + ", "
                 + expression.steps(asked) + " of at most " + expression.cost() + " steps)");
-        expression.explain(asked, MOST_LINES).forEach(line -> spec.commandLine().getOut().println("    " + line));
+        expression.explain(asked, MOST_LINES).forEach(line ->
+                spec.commandLine().getOut().println("    " + line));
         return Commands.GOOD;
     }
 }
--- a/src/main/java/gladewing/cli/Requests.java
+++ b/src/main/java/gladewing/cli/Requests.java
@@ -75,7 +75,8 @@
 
     private static Asked asked(Fields fields, Object headers, String name) {
         Asked asked = new Asked();
-        asked.path = fields.has("path") ? fields.text("path") : fields.has("product") ? "/" + fields.text("product")
+        asked.path = fields.has("path") ? fields.text("path") : fields.has("product") ? "/"
+                + fields.text("product")
                 : "/";
         String first = asked.path.substring(asked.path.startsWith("/") ? 1 : 0).split("[/?]", 2)[0];
         asked.product = fields.has("product") ? fields.text("product") : first;
--- a/src/main/java/gladewing/cli/RoutesCommand.java
+++ b/src/main/java/gladewing/cli/RoutesCommand.java
@@ -23,7 +23,8 @@
 import picocli.CommandLine.Spec;
 
 /** Tables of routes: checked, explained, replayed. */
-@Command(name = "routes", mixinStandardHelpOptions = true, description = "Checks and tries a table of routes.")
+@Command(name = "routes", mixinStandardHelpOptions = true, description =
+        "Checks and tries a table of routes.")
 final class RoutesCommand implements Runnable {
     private static final int MOST_LINES = 200;
 
@@ -31,7 +32,8 @@
     private CommandSpec spec;
 
     @Option(names = "--config", paramLabel = "CONFIG.json", scope = picocli.CommandLine.ScopeType.INHERIT,
-            description = "The router's configuration, whose products, tenants and shards the table is held against.")
+            description = "The router's configuration, "
+                    + "whose products, tenants and shards the table is held against.")
     private String config;
 
     @Override
@@ -71,7 +73,8 @@
     }
 
     @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Prints each route with its type and its greatest cost, or every fault of the file.")
+            description = "Prints each route with its type and its greatest cost, "
+                    + "or every fault of the file.")
     int check(@Parameters(paramLabel = "FILE") String file) {
         Table table = table(file);
         if (table == null) {
@@ -84,7 +87,8 @@
             out().println(route.name + ": " + route.when.type() + ", at most " + route.cost() + " steps"
                     + (route.key == null ? "" : ", key " + route.key.type()) + "; " + does(route));
         }
-        out().println(table.routes().size() + " routes, one request costs at most " + table.cost() + " steps");
+        out().println(table.routes().size() + " routes, one request costs at most " + table.cost()
+                + " steps");
         return Commands.GOOD;
     }
 
@@ -152,7 +156,8 @@
             }
         }
         differences.forEach((what, count) -> out().println(count + " " + what));
-        out().println(requests.size() + " requests, " + same + " alike, " + (requests.size() - same) + " different"
+        out().println(requests.size() + " requests, " + same + " alike, " + (requests.size() - same)
+                + " different"
                 + (timed ? "" : "; limits were left out, as not every request has at_ms"));
         return Commands.GOOD;
     }
--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -110,7 +110,8 @@
             return;
         }
         open = routed == null ? reader.exchange(this, left, reader.product(), reader.tenant())
-                : reader.exchange(this, left, routed.product(reader.product()), routed.tenant(reader.tenant()));
+                : reader.exchange(this, left, routed.product(reader.product()),
+                        routed.tenant(reader.tenant()));
         clients.asks.asked(open);
     }
 
@@ -184,11 +185,14 @@
         if (over) {
             return 1;
         }
-        // One that asked before asks once more on a new one; one that has not would have failed, if it is good.
+        // One that asked before asks once more on a new one; one that has not would have failed, if it is
+        // good.
         return owedSince == null ? 0 : now.since(owedSince).longerThan(JUST_COME) ? 2 : 3;
     }
 
-    /** An answer leaves at the end of its pass, and may have to wait for its client: a close would take it. */
+    /**
+     * An answer leaves at the end of its pass, and may have to wait for its client: a close would take it.
+     */
     private boolean answering() {
         return lastAnswer != null && !lastAnswer.isDone();
     }
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -115,7 +115,9 @@
         return connections.isEmpty();
     }
 
-    /** False where another multiget is open under the id: part ids are made of it, and answers would cross. */
+    /**
+     * False where another multiget is open under the id: part ids are made of it, and answers would cross.
+     */
     boolean begun(String id) {
         return openIds.add(id);
     }
--- a/src/main/java/gladewing/clients/Gate.java
+++ b/src/main/java/gladewing/clients/Gate.java
@@ -42,7 +42,8 @@
         List<Asked.Part> parts = new ArrayList<>(reader.parts().size());
         for (Taken.Part part : reader.parts()) {
             int at = parts.size();
-            parts.add(new Asked.Part(part.shard(), part.weight(), reader.hasCost(at) ? part.work().micros() : -1,
+            parts.add(new Asked.Part(part.shard(), part.weight(), reader.hasCost(at) ? part.work().micros()
+                    : -1,
                     reader.key(at)));
         }
         asked.parts = parts;
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -20,7 +20,10 @@
     private static final int WRONG_METHOD = 405;
     private static final int LONGEST_ID = 128;
     private static final int LONGEST_TEXT = 64 * 1024;
-    /** Good requests round their weights to six digits (seen: 0.000002 off at 8 parts); the module's own rounding. */
+    /**
+     * Good requests round their weights to six digits (seen: 0.000002 off at 8 parts); the module's own
+     * rounding.
+     */
     private static final double ROUNDING = 0.00005;
     /** No client waits so long, and no part is so much work: it is a mistake, and would be reckoned with. */
     private static final Span LONGEST_TIME = Span.ofMillis(600_000);
--- a/src/main/java/gladewing/clients/Responses.java
+++ b/src/main/java/gladewing/clients/Responses.java
@@ -21,7 +21,8 @@
 
     /** The header, in seconds, never rounded down to less; empty where nothing is said of when. */
     static String retryAfter(Span comeBack) {
-        return comeBack.micros() > 0 ? "Retry-After: " + (comeBack.micros() + 999) / 1000 / 1000.0 + "\r\n" : "";
+        return comeBack.micros() > 0 ? "Retry-After: " + (comeBack.micros() + 999) / 1000 / 1000.0 + "\r\n"
+                : "";
     }
 
     private static String reason(int status) {
--- a/src/main/java/gladewing/expr/Bound.java
+++ b/src/main/java/gladewing/expr/Bound.java
@@ -1,6 +1,9 @@
 package gladewing.expr;
 
-/** The largest that a value can be: letters of a text, elements of a list, entries of a map; and each of these. */
+/**
+ * The largest that a value can be: letters of a text, elements of a list, entries of a map; and each of
+ * these.
+ */
 public record Bound(long size, Bound element) {
     /** Of a value that has no parts. */
     public static final Bound ONE = new Bound(1, null);
--- a/src/main/java/gladewing/expr/Checker.java
+++ b/src/main/java/gladewing/expr/Checker.java
@@ -16,7 +16,9 @@
  * branch that is never taken.
  */
 final class Checker {
-    /** A pattern's size with its repetitions written out, in elements; it bounds the time to compile it too. */
+    /**
+     * A pattern's size with its repetitions written out, in elements; it bounds the time to compile it too.
+     */
     private static final int LARGEST_PATTERN = 2000;
     private static final int LONGEST_PATTERN = 256;
 
@@ -263,7 +265,8 @@
         for (Node kid : node.kids) {
             Type both = element == null ? kid.type : Type.common(element, kid.type);
             if (both == null) {
-                problem(kid, "this is " + kid.type + ", wanted: " + element + " (a list's elements have one type)");
+                problem(kid, "this is " + kid.type + ", wanted: " + element
+                        + " (a list's elements have one type)");
                 return Type.WRONG;
             }
             element = both;
@@ -319,7 +322,8 @@
         }
         long size = regex.length() > LONGEST_PATTERN ? Long.MAX_VALUE : PatternSize.of(regex);
         if (size > LARGEST_PATTERN) {
-            problem(pattern, "the pattern is too large: wanted at most " + LONGEST_PATTERN + " characters, and "
+            problem(pattern, "the pattern is too large: wanted at most " + LONGEST_PATTERN
+                    + " characters, and "
                     + LARGEST_PATTERN + " elements with its repetitions written out");
             return Type.WRONG;
         }
@@ -365,7 +369,8 @@
     private static String conversion(Type a, Type b) {
         boolean mixed = a.is(Kind.INT) && b.is(Kind.DOUBLE) || a.is(Kind.DOUBLE) && b.is(Kind.INT);
         return mixed ? ", wanted: two of one type; double(...) or int(...) turns one into the other"
-                : a.is(Kind.STRING) || b.is(Kind.STRING) ? ", wanted: two of one type; string(...) makes a text" : "";
+                : a.is(Kind.STRING) || b.is(Kind.STRING)
+                        ? ", wanted: two of one type; string(...) makes a text" : "";
     }
 
     private Type comparison(Node node, boolean known) {
@@ -449,7 +454,8 @@
             cost = Steps.add(cost, body ? Steps.multiply(node.kid(0).bound.size(), kid.cost) : kid.cost);
         }
         if (node.op == Op.IF) {
-            cost = Steps.add(own(node), Steps.add(node.kid(0).cost, Math.max(node.kid(1).cost, node.kid(2).cost)));
+            cost = Steps.add(own(node), Steps.add(node.kid(0).cost,
+                    Math.max(node.kid(1).cost, node.kid(2).cost)));
         }
         node.cost = cost;
         if (node.op == Op.CONDITION) {
--- a/src/main/java/gladewing/expr/Expression.java
+++ b/src/main/java/gladewing/expr/Expression.java
@@ -62,7 +62,8 @@
         String part = dearest.op == Op.CONDITION ? dearest.condition.name
                 : Lexer.shortened(text.substring(Math.min(dearest.from, text.length()),
                         Math.min(dearest.to, text.length())));
-        return "may take " + steps(root.cost) + " steps, wanted: at most " + most + "; the dearest part, with "
+        return "may take " + steps(root.cost) + " steps, wanted: at most " + most
+                + "; the dearest part, with "
                 + steps(dearest.cost) + ", is at column " + (dearest.from + 1) + ": " + part;
     }
 
@@ -98,14 +99,17 @@
         return value == Interpreter.UNKNOWN || Boolean.TRUE.equals(value);
     }
 
-    /** Each operation's text and value, outermost first, as one request has them; "no value" where none is. */
+    /**
+     * Each operation's text and value, outermost first, as one request has them; "no value" where none is.
+     */
     public List<String> explain(View request, int most) {
         List<String> lines = new ArrayList<>();
         explain(root, text, new Interpreter(request, slots), 0, lines, most);
         return lines;
     }
 
-    private static void explain(Node node, String text, Interpreter interpreter, int depth, List<String> lines,
+    private static void explain(Node node, String text, Interpreter interpreter, int depth,
+            List<String> lines,
             int most) {
         if (node.literal() || node.op == Op.REQUEST || lines.size() >= most) {
             return;
@@ -135,7 +139,8 @@
         return value == null ? "no value" : value instanceof java.time.Duration span
                 ? Values.durationText(Values.micros(span)) : value instanceof View ? "a record"
                 : value instanceof Entries map ? "a map of " + map.size() : value instanceof List<?> list
-                ? list.size() > 8 ? "a list of " + list.size() : list.stream().map(Expression::shown).toList().toString()
+                ? list.size() > 8 ? "a list of " + list.size()
+                        : list.stream().map(Expression::shown).toList().toString()
                 : value.toString();
     }
 
--- a/src/main/java/gladewing/expr/Function.java
+++ b/src/main/java/gladewing/expr/Function.java
@@ -20,7 +20,8 @@
     INT_OF_DOUBLE("int", Type.INT, Type.DOUBLE), INT_OF_TEXT("int", Type.INT, Type.STRING),
     DOUBLE_OF_INT("double", Type.DOUBLE, Type.INT), DOUBLE_OF_TEXT("double", Type.DOUBLE, Type.STRING),
     TEXT_OF_BOOL("string", Type.STRING, Type.BOOL), TEXT_OF_INT("string", Type.STRING, Type.INT),
-    TEXT_OF_DOUBLE("string", Type.STRING, Type.DOUBLE), TEXT_OF_DURATION("string", Type.STRING, Type.DURATION);
+    TEXT_OF_DOUBLE("string", Type.STRING, Type.DOUBLE), TEXT_OF_DURATION("string", Type.STRING,
+            Type.DURATION);
 
     /** Longer than the text of any number, bool or duration. */
     static final long LONGEST_NUMBER = 32;
--- a/src/main/java/gladewing/expr/Interpreter.java
+++ b/src/main/java/gladewing/expr/Interpreter.java
@@ -72,7 +72,9 @@
         return request;
     }
 
-    /** The first of && that is false, of || that is true, decides, whatever has no value before or after it. */
+    /**
+     * The first of && that is false, of || that is true, decides, whatever has no value before or after it.
+     */
     private Object decided(Node node, Boolean decider) {
         steps += Steps.own(node, 0, 0);
         Object result = !decider;
@@ -181,7 +183,8 @@
                 own += 2 * Steps.whole(kid);
             }
         } else {
-            own = Steps.own(node, kids.length > 0 ? Steps.size(kids[0]) : 1, kids.length > 1 ? Steps.size(kids[1]) : 1);
+            own = Steps.own(node, kids.length > 0 ? Steps.size(kids[0]) : 1, kids.length > 1
+                    ? Steps.size(kids[1]) : 1);
         }
         steps = Steps.add(steps, own);
     }
@@ -280,7 +283,8 @@
             return op == Op.LESS ? x < y : op == Op.AT_MOST ? x <= y : op == Op.MORE ? x > y : x >= y;
         }
         int order = Values.compare(a, b);
-        return op == Op.LESS ? order < 0 : op == Op.AT_MOST ? order <= 0 : op == Op.MORE ? order > 0 : order >= 0;
+        return op == Op.LESS ? order < 0 : op == Op.AT_MOST ? order <= 0 : op == Op.MORE ? order > 0
+                : order >= 0;
     }
 
     private static Object arithmetic(Op op, Object a, Object b) {
--- a/src/main/java/gladewing/expr/Lexer.java
+++ b/src/main/java/gladewing/expr/Lexer.java
@@ -61,7 +61,8 @@
         String sign = at + 1 < text.length() && TWO.contains(text.substring(at, at + 2))
                 ? text.substring(at, at + 2) : String.valueOf(c);
         if (sign.length() == 1 && "()[]{}.,?:!<>+-*/%".indexOf(c) < 0) {
-            throw new Malformed(from, c == '=' || c == '&' || c == '|' ? "a single " + c + ", wanted: " + c + c
+            throw new Malformed(from, c == '=' || c == '&' || c == '|' ? "a single " + c + ", wanted: " + c
+                    + c
                     : c < ' ' || c > '~' ? String.format("the character U+%04X has no meaning here", (int) c)
                     : "the character " + c + " has no meaning here");
         }
@@ -159,7 +160,8 @@
             code = digit < 0 || code < 0 ? -1 : code * 16 + digit;
         }
         if (digits == 0 || code < 0) {
-            throw new Malformed(from, "an unknown escape, wanted: one of \\\\ \\' \\\" \\n \\r \\t \\xHH \\uHHHH"
+            throw new Malformed(from,
+                    "an unknown escape, wanted: one of \\\\ \\' \\\" \\n \\r \\t \\xHH \\uHHHH"
                     + " (or r'...', in which \\ stands for itself)");
         }
         return (char) code;
--- a/src/main/java/gladewing/expr/Op.java
+++ b/src/main/java/gladewing/expr/Op.java
@@ -2,7 +2,8 @@
 
 /** What a node of an expression does. */
 enum Op {
-    LITERAL("a constant"), NAME("a name"), REQUEST("request"), VARIABLE("a variable"), CONDITION("a condition"),
+    LITERAL("a constant"), NAME("a name"), REQUEST("request"), VARIABLE("a variable"),
+            CONDITION("a condition"),
     FIELD("."), INDEX("[]"), CALL("a call"), LIST("a list"), MAP("a map"), HAS("has"), OR_VALUE("orValue"),
     NOT("!"), NEGATE("-"), ADD("+"), SUBTRACT("-"), MULTIPLY("*"), DIVIDE("/"), MODULO("%"),
     EQUAL("=="), UNEQUAL("!="), LESS("<"), AT_MOST("<="), MORE(">"), AT_LEAST(">="), IN("in"),
--- a/src/main/java/gladewing/expr/Parser.java
+++ b/src/main/java/gladewing/expr/Parser.java
@@ -22,7 +22,8 @@
             "exists_one", Op.ONE, "filter", Op.FILTER, "map", Op.TRANSFORM);
     /** CEL's reserved words, which no name may be. */
     private static final List<String> RESERVED = List.of("as", "break", "const", "continue", "else", "for",
-            "function", "if", "import", "let", "loop", "package", "namespace", "return", "var", "void", "while");
+            "function", "if", "import", "let", "loop", "package", "namespace", "return", "var", "void",
+                    "while");
 
     private final List<Lexer.Token> tokens;
     private int next;
@@ -179,7 +180,8 @@
             // The smallest int has no positive: the sign belongs to the number.
             Lexer.Token number = take();
             long value = (Long) number.value();
-            Node literal = Node.literal(number.from() - 1, number.to(), value == Long.MIN_VALUE ? value : -value);
+            Node literal = Node.literal(number.from() - 1, number.to(), value == Long.MIN_VALUE ? value
+                    : -value);
             return repeated(Op.NEGATE, from, times - 1, members(number.from() - 1, literal));
         }
         return repeated(sign.equals("!") ? Op.NOT : Op.NEGATE, from, times, member());
--- a/src/main/java/gladewing/expr/Problem.java
+++ b/src/main/java/gladewing/expr/Problem.java
@@ -29,7 +29,8 @@
         int end = text.indexOf('\n', from);
         end = Math.min(end < 0 ? text.length() : end, from + AFTER);
         // Bytes that a terminal would act on are shown as a dot.
-        String shown = text.substring(Math.min(start, text.length()), Math.max(Math.min(start, text.length()), end))
+        String shown = text.substring(Math.min(start, text.length()),
+                Math.max(Math.min(start, text.length()), end))
                 .replaceAll("\\p{Cntrl}", ".");
         return "line " + line() + " column " + column() + ": " + what + "\n    " + shown + "\n    "
                 + " ".repeat(from - start) + "^";
--- a/src/main/java/gladewing/expr/Terms.java
+++ b/src/main/java/gladewing/expr/Terms.java
@@ -30,7 +30,8 @@
             return all;
         }
         if (node.op != Op.AND) {
-            return List.of(node.literal() && Boolean.TRUE.equals(node.value) ? List.of() : List.of(term(node)));
+            return List.of(node.literal() && Boolean.TRUE.equals(node.value) ? List.of()
+                    : List.of(term(node)));
         }
         List<List<Term>> all = List.of(List.of());
         for (Node kid : node.kids) {
@@ -63,7 +64,8 @@
         if (node.op == Op.IN && node.kid(1).literal() && node.kid(1).value instanceof List<?> list) {
             Term.Subject subject = subject(node.kid(0));
             if (subject != null && !list.isEmpty()) {
-                return new Term(Term.Form.EQUAL, subject, list.stream().map(v -> (String) v).distinct().toList(),
+                return new Term(Term.Form.EQUAL, subject, list.stream().map(v ->
+                        (String) v).distinct().toList(),
                         form(node));
             }
         }
@@ -106,7 +108,8 @@
             case VARIABLE -> to.append('$').append(node.slot);
             case CONDITION -> to.append('#').append(node.condition.name);
             default -> {
-                to.append(node.op == Op.CALL ? node.function.name() : node.op == Op.FIELD ? "." + node.field.name()
+                to.append(node.op == Op.CALL ? node.function.name() : node.op == Op.FIELD ? "."
+                        + node.field.name()
                         : node.op.sign).append('(');
                 for (Node kid : node.kids) {
                     write(kid, to);
--- a/src/main/java/gladewing/expr/Values.java
+++ b/src/main/java/gladewing/expr/Values.java
@@ -7,7 +7,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Operations on values that the interpreter and the compiled form share, as each has only one right result. */
+/**
+ * Operations on values that the interpreter and the compiled form share, as each has only one right result.
+ */
 final class Values {
     private static final Hasher64 HASHER = Hashing.xxh3_64();
     private static final Pattern SPAN = Pattern.compile("(\\d{1,12})(\\.\\d{1,9})?(h|ms|m|s|us)");
@@ -71,13 +73,16 @@
         }
     }
 
-    /** A duration's text: numbers with the units h, m, s, ms, us, a minus before all; null for anything else. */
+    /**
+     * A duration's text: numbers with the units h, m, s, ms, us, a minus before all; null for anything else.
+     */
     static Duration duration(String text) {
         String rest = text.startsWith("-") ? text.substring(1) : text;
         double micros = 0;
         Matcher span = SPAN.matcher(rest);
         int at = 0;
-        while (at < rest.length() && rest.length() <= Function.LONGEST_NUMBER && span.find() && span.start() == at) {
+        while (at < rest.length() && rest.length() <= Function.LONGEST_NUMBER && span.find()
+                && span.start() == at) {
             String fraction = span.group(2) == null ? "" : span.group(2);
             double unit = switch (span.group(3)) {
                 case "h" -> 3.6e9;
@@ -96,7 +101,8 @@
     }
 
     static Duration ofMicros(long micros) {
-        return Duration.ofSeconds(Math.floorDiv(micros, 1_000_000L), Math.floorMod(micros, 1_000_000L) * 1000);
+        return Duration.ofSeconds(Math.floorDiv(micros, 1_000_000L),
+                Math.floorMod(micros, 1_000_000L) * 1000);
     }
 
     static long micros(Duration duration) {
--- a/src/main/java/gladewing/expr/View.java
+++ b/src/main/java/gladewing/expr/View.java
@@ -12,6 +12,8 @@
 
     double number(int field);
 
-    /** A String, an Entries, or a List of Long, Double, Boolean, String or View; null where there is no value. */
+    /**
+     * A String, an Entries, or a List of Long, Double, Boolean, String or View; null where there is no value.
+     */
     Object object(int field);
 }
--- a/src/main/java/gladewing/routes/Bounds.java
+++ b/src/main/java/gladewing/routes/Bounds.java
@@ -25,6 +25,7 @@
 
     /** A site's multiget names no shard twice. */
     Bounds within(Site site) {
-        return site == null ? this : new Bounds(text, headers, Math.min(parts, site.shards()), routeSteps, tableSteps);
+        return site == null ? this : new Bounds(text, headers, Math.min(parts, site.shards()), routeSteps,
+                tableSteps);
     }
 }
--- a/src/main/java/gladewing/routes/Branch.java
+++ b/src/main/java/gladewing/routes/Branch.java
@@ -107,7 +107,9 @@
                 rest.isEmpty() ? null : build(rest, nowUsed));
     }
 
-    /** The subject after which the fewest routes are left in the worst case, or null where none is worth it. */
+    /**
+     * The subject after which the fewest routes are left in the worst case, or null where none is worth it.
+     */
     private static Term.Subject best(List<Row> rows, Set<Term.Subject> used) {
         Map<Term.Subject, Map<String, Integer>> sizes = new LinkedHashMap<>();
         Map<Term.Subject, Integer> wanting = new HashMap<>();
@@ -209,7 +211,8 @@
                 most = Math.max(most, branch.cost());
             }
             return sum(sum(most, byPrefix == null ? 0 : byPrefix.cost()),
-                    sum(rest == null ? 0 : rest.cost(), subject.key() == null ? 16 : subject.field().bound().size()));
+                    sum(rest == null ? 0 : rest.cost(), subject.key() == null ? 16
+                            : subject.field().bound().size()));
         }
     }
 
@@ -243,7 +246,8 @@
             String common = texts.iterator().next();
             for (String text : texts) {
                 int same = 0;
-                while (same < Math.min(common.length(), text.length()) && common.charAt(same) == text.charAt(same)) {
+                while (same < Math.min(common.length(), text.length())
+                        && common.charAt(same) == text.charAt(same)) {
                     same++;
                 }
                 common = common.substring(0, same);
--- a/src/main/java/gladewing/routes/Cover.java
+++ b/src/main/java/gladewing/routes/Cover.java
@@ -54,10 +54,12 @@
             return "it can never be true: two of its tests exclude each other";
         }
         if (!open) {
-            List<String> names = covering.stream().map(above -> above.route.name).distinct().limit(4).toList();
+            List<String> names = covering.stream().map(above ->
+                    above.route.name).distinct().limit(4).toList();
             return "it can never match: all it could take is taken above, by " + String.join(", ", names);
         }
-        return compared > MOST_COMPARED ? UNDECIDED + " whether it can ever match: the table is too large" : null;
+        return compared > MOST_COMPARED ? UNDECIDED + " whether it can ever match: the table is too large"
+                : null;
     }
 
     private static boolean contradictory(List<Term> terms) {
@@ -74,7 +76,9 @@
         return false;
     }
 
-    /** One of several texts is covered also where each is by another route: so they are looked at one by one. */
+    /**
+     * One of several texts is covered also where each is by another route: so they are looked at one by one.
+     */
     private static List<List<Term>> singles(List<Term> terms) {
         List<List<Term>> all = List.of(terms);
         for (Term term : terms) {
@@ -135,8 +139,10 @@
         List<String> best = List.of("");
         int fewest = Integer.MAX_VALUE;
         for (Term term : terms) {
-            List<String> keys = term.form() == Term.Form.OTHER ? List.of("=" + term.text()) : term.values().stream()
-                    .map(value -> key(term.subject(), term.form() == Term.Form.EQUAL ? "=" : "^", value)).toList();
+            List<String> keys = term.form() == Term.Form.OTHER ? List.of("=" + term.text())
+                    : term.values().stream()
+                    .map(value -> key(term.subject(), term.form() == Term.Form.EQUAL ? "=" : "^",
+                            value)).toList();
             int had = 0;
             for (String key : keys) {
                 had += seen.merge(key, 1, Integer::sum);
--- a/src/main/java/gladewing/routes/KeyedLimit.java
+++ b/src/main/java/gladewing/routes/KeyedLimit.java
@@ -67,7 +67,9 @@
         return 0;
     }
 
-    /** Whether what was used up of the other counts here too: a file that is read anew gives no burst anew. */
+    /**
+     * Whether what was used up of the other counts here too: a file that is read anew gives no burst anew.
+     */
     boolean continues(KeyedLimit other) {
         return other != null && name.equals(other.name) && rate == other.rate && burst == other.burst
                 && sets == other.sets;
--- a/src/main/java/gladewing/routes/Route.java
+++ b/src/main/java/gladewing/routes/Route.java
@@ -19,7 +19,9 @@
     public final String limitName;
     /** How long one that is turned away is to wait, in microseconds; negative where none is. */
     public final long turnAway;
-    /** All routes that name it share it, but those that observe among themselves; null where none is named. */
+    /**
+     * All routes that name it share it, but those that observe among themselves; null where none is named.
+     */
     KeyedLimit limit;
     final Compiled.Bool condition;
     final Compiled.Whole keyCode;
--- a/src/main/java/gladewing/routes/RouteFile.java
+++ b/src/main/java/gladewing/routes/RouteFile.java
@@ -83,8 +83,10 @@
                     || (kind.equals("route") || kind.equals("limit")) && section.name.contains(" ");
             if (!known) {
                 String near = Near.of(kind, List.of("bounds", "constants", "conditions", "route", "limit"));
-                section.fault("", "no such section, wanted: [bounds], [constants], [conditions], [limit NAME] or "
-                        + "[route NAME]" + (near != null && !near.equals(kind) ? "; did you mean " + near + "?" : ""));
+                section.fault("", "no such section, wanted: [bounds], [constants], [conditions], "
+                        + "[limit NAME] or "
+                        + "[route NAME]" + (near != null && !near.equals(kind) ? "; did you mean " + near
+                                + "?" : ""));
             }
         }
         named();
@@ -106,7 +108,8 @@
         Table table = new Table(routes, slots);
         if (table.cost() > bounds.tableSteps()) {
             file.fault("", "", "one request may cost " + table.cost() + " steps, wanted: at most "
-                    + bounds.tableSteps() + " (table-steps in [bounds]); routes whose conditions begin with a "
+                    + bounds.tableSteps()
+                            + " (table-steps in [bounds]); routes whose conditions begin with a "
                     + "comparison of a field with a text are found without asking them all");
         }
         return table;
@@ -165,7 +168,8 @@
 
     private void goodName(Section section, String name) {
         if (!NAME.matcher(name).matches()) {
-            section.fault("", "'" + name + "' can't be a name, wanted: up to 64 letters, digits, dots, - and _");
+            section.fault("", "'" + name
+                    + "' can't be a name, wanted: up to 64 letters, digits, dots, - and _");
         }
     }
 
@@ -176,11 +180,13 @@
         boolean observes = section.word("mode", List.of("act", "observe")).equals("observe");
         Expression when = expression(section, "when", Type.BOOL);
         if (!section.has("when")) {
-            section.fault("when", "missing, wanted: a condition, such as request.product == 'report' (or true)");
+            section.fault("when",
+                    "missing, wanted: a condition, such as request.product == 'report' (or true)");
         }
         Expression key = expression(section, "key", null);
         if (key != null && !key.type().equals(Type.INT) && !key.type().equals(Type.STRING)) {
-            section.fault("key", "this is " + key.type() + ", wanted: a string or an int; hash(...) makes one of any");
+            section.fault("key", "this is " + key.type()
+                    + ", wanted: a string or an int; hash(...) makes one of any");
             key = null;
         }
         String productName = named(section, "product");
@@ -190,14 +196,16 @@
         int tenant = index(section, "tenant", tenantName, site == null ? null : site.tenants());
         if (limitName != null && !limits.containsKey(limitName)) {
             String near = Near.of(limitName, limits.keySet());
-            section.fault("limit", "there is no [limit " + limitName + "]" + (near == null ? "" : ", did you mean "
+            section.fault("limit", "there is no [limit " + limitName + "]"
+                    + (near == null ? "" : ", did you mean "
                     + near + "?"));
         }
         long away = section.micros("turn-away", -1, 0, DAY_MICROS);
         if (section.has("turn-away")) {
             for (String other : List.of("product", "tenant", "limit", "key")) {
                 if (section.has(other)) {
-                    section.fault(other, "nothing is left to do with what is turned away, wanted: turn-away alone");
+                    section.fault(other,
+                            "nothing is left to do with what is turned away, wanted: turn-away alone");
                 }
             }
         }
--- a/src/main/java/gladewing/routes/Rules.java
+++ b/src/main/java/gladewing/routes/Rules.java
@@ -47,7 +47,8 @@
         Settings.Product to = site.rows().get(product);
         String why = null;
         if (to.effect().compareTo(from.effect()) < 0) {
-            why = "its effect, " + word(to.effect()) + ", is weaker than " + word(from.effect()) + " (rule 2)";
+            why = "its effect, " + word(to.effect()) + ", is weaker than " + word(from.effect())
+                    + " (rule 2)";
         } else if (to.effect() == Settings.Effect.TAGGED && from.effect() == Settings.Effect.TAGGED
                 && to.repeatWindow().longerThan(from.repeatWindow())) {
             why = "its repeat window, " + to.repeatWindow().millis() + " ms, is longer than "
--- a/src/main/java/gladewing/routes/Table.java
+++ b/src/main/java/gladewing/routes/Table.java
@@ -134,7 +134,8 @@
     public void follow(Table before) {
         for (Route route : routes) {
             for (Route old : before.routes) {
-                if (route.limit != null && route.observes == old.observes && route.limit.continues(old.limit)) {
+                if (route.limit != null && route.observes == old.observes
+                        && route.limit.continues(old.limit)) {
                     route.limit = old.limit;
                     break;
                 }
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -40,7 +40,8 @@
                         + listening.cause().getMessage());
             }
             Signal.handle(new Signal("HUP"), hangup -> reread(configPath, thread, serve, routing));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending(), routing), "ending"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending(), routing),
+                    "ending"));
             group.terminationFuture().await();
             return 0;
         } catch (Unusable bad) {
@@ -64,7 +65,8 @@
             thread.execute(() -> serve.configure(fresh));
         } catch (RuntimeException bad) {
             // No field: a logger of this class would come before the log manager is named.
-            Logger.getLogger(Program.class.getName()).warning("the configuration in use stays, the new one can't be used: "
+            Logger.getLogger(Program.class.getName()).warning(
+                    "the configuration in use stays, the new one can't be used: "
                     + bad.getMessage());
         }
         if (routing != null) {
--- a/src/main/java/gladewing/serve/Routing.java
+++ b/src/main/java/gladewing/serve/Routing.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.logging.Logger;
 
-/** The table of routes in a running program: read anew off the loop's thread, and put in between two passes. */
+/**
+ * The table of routes in a running program: read anew off the loop's thread, and put in between two passes.
+ */
 final class Routing {
     private static final Logger LOG = Logger.getLogger(Routing.class.getName());
     private static final int MOST_LINES = 50;
@@ -45,7 +47,9 @@
                 config.settings().routers());
     }
 
-    /** On the signal's thread; a file that can't be used costs one line, and `routes check` tells the rest. */
+    /**
+     * On the signal's thread; a file that can't be used costs one line, and `routes check` tells the rest.
+     */
     void reread() {
         try {
             Table fresh = RouteFile.read(path, site);
@@ -55,7 +59,8 @@
                 LOG.info("routes read anew: " + fresh.routes().size() + " from " + path);
             });
         } catch (Faulty bad) {
-            LOG.warning("routes: the table in use stays, " + path + " has " + bad.faults().size() + " faults, the first: "
+            LOG.warning("routes: the table in use stays, " + path + " has " + bad.faults().size()
+                    + " faults, the first: "
                     + bad.faults().get(0).toString().lines().findFirst().orElse(""));
         } catch (RuntimeException fault) {
             LOG.warning("routes: the table in use stays, " + path + " can't be used: " + fault);
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -69,7 +69,8 @@
                 told.loadProbes()), this);
         Site site = new Site(config.products(), config.tenants(), config.shards());
         clients = new Clients(loop, site, shared - shared / 4, this);
-        watch = new Watch(loop, bootstrap(thread), config.discovery(), config.settings().shards().cells(), this);
+        watch = new Watch(loop, bootstrap(thread), config.discovery(), config.settings().shards().cells(),
+                this);
         Span longest = Span.ZERO;
         for (Settings.Product product : config.settings().products()) {
             longest = Span.longest(longest, product.limit());
--- a/src/main/java/gladewing/settings/Near.java
+++ b/src/main/java/gladewing/settings/Near.java
@@ -36,7 +36,8 @@
                 }
                 int same = a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1;
                 d[i][j] = Math.min(Math.min(d[i - 1][j], d[i][j - 1]) + 1, d[i - 1][j - 1] + same);
-                if (i > 1 && j > 1 && a.charAt(i - 1) == b.charAt(j - 2) && a.charAt(i - 2) == b.charAt(j - 1)) {
+                if (i > 1 && j > 1 && a.charAt(i - 1) == b.charAt(j - 2)
+                        && a.charAt(i - 2) == b.charAt(j - 1)) {
                     d[i][j] = Math.min(d[i][j], d[i - 2][j - 2] + 1);
                 }
             }
--- a/src/test/java/gladewing/cli/CommandsTest.java
+++ b/src/test/java/gladewing/cli/CommandsTest.java
@@ -41,12 +41,14 @@
         write("other.ini", "[route corfu-reports]\nwhen = request.headers['x-clinic'] == 'corfu'\nproduct = sheet\n");
         write("bad.ini", "[route a]\nwhen = request.product == 'reprot'\nproduct = shet\nlimit = l\n");
         write("config.json", Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:1")
-                .replace("DISCOVERY", "127.0.0.1:2").replace("\"KNOWN\"", "{\"rev\":0,\"all\":true,\"targets\":[]}"));
+                .replace("DISCOVERY", "127.0.0.1:2").replace("\"KNOWN\"",
+                        "{\"rev\":0,\"all\":true,\"targets\":[]}"));
         write("one.json", "{\"path\":\"/report/today\",\"headers\":{\"X-Clinic\":\"corfu\"},\"time_left_ms\":900,"
                 + "\"parts\":[{\"shard\":3,\"weight\":1,\"cost\":9000}]}");
         write("odd.json", "{\"produkt\":\"report\"}");
         String sheet = "{\"product\":\"sheet\",\"headers\":{\"x-desk\":\"1\"},\"at_ms\":";
-        write("some.log", "{\"product\":\"report\",\"headers\":{\"x-clinic\":\"corfu\"},\"at_ms\":0}\n\n" + sheet
+        write("some.log", "{\"product\":\"report\",\"headers\":{\"x-clinic\":\"corfu\"},\"at_ms\":0}\n\n"
+                + sheet
                 + "0}\n" + sheet + "10}\n" + sheet + "1500}\n");
         run("routes", "check", "good.ini");
         run("routes", "check", "good.ini", "--config", "config.json");
@@ -57,7 +59,8 @@
         run("routes", "explain", "good.ini", "--request", "one.json");
         run("routes", "explain", "good.ini", "--request", "odd.json");
         run("routes", "replay", "good.ini", "--log", "some.log", "--against", "other.ini");
-        run("expr", "eval", "request.parts[0].cost > duration('8ms') ? 'dear' : request.tenant", "--request", "one.json");
+        run("expr", "eval", "request.parts[0].cost > duration('8ms') ? 'dear' : request.tenant", "--request",
+                "one.json");
         run("expr", "eval", "request.tenant", "--request", "one.json");
         run("expr", "eval", "request.tenants", "--request", "one.json");
         run("expr", "evil");
--- a/src/test/java/gladewing/expr/ExpressionTest.java
+++ b/src/test/java/gladewing/expr/ExpressionTest.java
@@ -40,7 +40,8 @@
 
     /**
      * Expressions of every kind over requests of every kind: what the checker accepts never throws, takes no
-     * more steps than it was said to, and comes to the same in both forms; faults are found wherever they are.
+     * more steps than it was said to, and comes to the same in both forms; faults are found wherever they
+     * are.
      */
     @Test
     void whatIsAcceptedIsTotalBoundedAndTheSameInBothForms() {
@@ -53,7 +54,8 @@
             Random random = new Random(seed);
             boolean whole = random.nextInt(4) == 0;
             Generator generator = new Generator(random);
-            String text = whole ? generator.whole(random.nextInt(5), "") : generator.bool(random.nextInt(5), "");
+            String text = whole ? generator.whole(random.nextInt(5), "")
+                    : generator.bool(random.nextInt(5), "");
             if (text.length() > Parser.LONGEST) {
                 continue;
             }
@@ -71,7 +73,8 @@
                     Object plain = expression.value(request);
                     assertEquals(plain, run(expression, frame, request), text);
                     long steps = expression.steps(request);
-                    assertTrue(steps <= expression.cost(), () -> steps + " of " + expression.cost() + ": " + text);
+                    assertTrue(steps <= expression.cost(), () -> steps + " of " + expression.cost() + ": "
+                            + text);
                     valued += plain != null ? 1 : 0;
                     both += Boolean.TRUE.equals(plain) ? 1 : 0;
                     most = Math.max(most, steps);
@@ -84,7 +87,8 @@
             }
         }
         // The generator is of use only where it has not all gone one way.
-        assertTrue(valued > 40_000 && both > 10_000 && most > 500, valued + " " + both + " " + most + " " + refused);
+        assertTrue(valued > 40_000 && both > 10_000 && most > 500, valued + " " + both + " " + most + " "
+                + refused);
     }
 
     @Test
@@ -125,8 +129,10 @@
     void whatExpressionsMean() throws IOException {
         View part = Records.of(Map.of(0, 3L, 1, 0.75, 2, "k"));
         View request = Records.of(Map.of(0, "clinic-report", 1, "/clinic-report/corfu", 2,
-                Interpreter.map(new Object[] {"x-clinic", "corfu"}), 3, 1_500_000L, 4, true, 5, Long.MAX_VALUE, 6, 0.5,
-                7, List.of(part, Records.of(Map.of(0, 4L, 1, 0.25))), 8, List.of(1L, 2L, 3L), 9, List.of("a", "b")));
+                Interpreter.map(new Object[] {"x-clinic", "corfu"}), 3, 1_500_000L, 4, true, 5,
+                        Long.MAX_VALUE, 6, 0.5,
+                7, List.of(part, Records.of(Map.of(0, 4L, 1, 0.25))), 8, List.of(1L, 2L, 3L), 9,
+                        List.of("a", "b")));
         StringBuilder told = new StringBuilder();
         for (String line : Trace.kept("expr-values.txt").split("\n")) {
             String text = line.split(" => ")[0];
@@ -171,7 +177,8 @@
                 + ".map(d, d + d + d + d + d + d + d + d + d + d))))[0][0][0][0] == 'x'";
         assertTrue(refusal(grown).startsWith("may take "), refusal(grown));
         assertTrue(refusal("request.path.matches('((a{30}){30}){30}')").startsWith("the pattern is too large"));
-        assertTrue(refusal("request.path.matches('" + "(".repeat(120) + ")".repeat(120) + "')").contains("pattern"));
+        assertTrue(refusal("request.path.matches('" + "(".repeat(120) + ")".repeat(120)
+                + "')").contains("pattern"));
     }
 
     /** Conditions made of each other double at each step: their cost is told as more than any number. */
@@ -196,7 +203,8 @@
     /** Text on which a backtracking engine takes 2^n steps: here it takes a bounded number of them. */
     @Test
     void patternsAreMatchedInLinearTime() {
-        Schema schema = new Schema(Records.REQUEST).field(Records.REQUEST, "path", 0, Type.STRING, Bound.text(8192));
+        Schema schema = new Schema(Records.REQUEST).field(Records.REQUEST, "path", 0, Type.STRING,
+                Bound.text(8192));
         Expression hard = new Environment(schema).expression("request.path.matches('^(a+)+$')", Type.BOOL,
                 new ArrayList<>());
         Compiled.Bool code = hard.bool();
--- a/src/test/java/gladewing/expr/Generator.java
+++ b/src/test/java/gladewing/expr/Generator.java
@@ -29,13 +29,16 @@
         int d = depth - 1;
         switch (random.nextInt(13)) {
             case 0:
-                return "(" + bool(d, scope) + " && " + bool(d, scope) + one("", " && " + bool(d, scope)) + ")";
+                return "(" + bool(d, scope) + " && " + bool(d, scope) + one("", " && " + bool(d, scope))
+                        + ")";
             case 1:
-                return "(" + bool(d, scope) + " || " + bool(d, scope) + one("", " || " + bool(d, scope)) + ")";
+                return "(" + bool(d, scope) + " || " + bool(d, scope) + one("", " || " + bool(d, scope))
+                        + ")";
             case 2:
                 return "!" + "(" + bool(d, scope) + ")";
             case 3:
-                return "(" + whole(d, scope) + one(" < ", " <= ", " == ", " != ", " > ", " >= ") + whole(d, scope) + ")";
+                return "(" + whole(d, scope) + one(" < ", " <= ", " == ", " != ", " > ", " >= ")
+                        + whole(d, scope) + ")";
             case 4:
                 return "(" + number(d, scope) + one(" < ", " == ", " != ", " >= ") + number(d, scope) + ")";
             case 5:
@@ -43,11 +46,13 @@
             case 6:
                 return "(" + span(d, scope) + one(" < ", " == ", " > ") + span(d, scope) + ")";
             case 7:
-                return text(d, scope) + one(".startsWith(", ".endsWith(", ".contains(") + text(d, scope) + ")";
+                return text(d, scope) + one(".startsWith(", ".endsWith(", ".contains(") + text(d, scope)
+                        + ")";
             case 8:
                 return text(d, scope) + ".matches(" + one(PATTERNS) + ")";
             case 9:
-                return "(" + one(whole(d, scope) + " in " + wholes(d, scope), text(d, scope) + " in ['a', 'corfu']",
+                return "(" + one(whole(d, scope) + " in " + wholes(d, scope), text(d, scope)
+                        + " in ['a', 'corfu']",
                         text(d, scope) + " in " + texts(d, scope)) + ")";
             case 10:
                 return quantified(d, scope);
@@ -63,7 +68,8 @@
     private String quantified(int depth, String scope) {
         String macro = one("all", "exists", "exists_one");
         String name = one("i", "s", "p") + ++variables;
-        String range = name.startsWith("i") ? wholes(depth, scope) : name.startsWith("s") ? texts(depth, scope)
+        String range = name.startsWith("i") ? wholes(depth, scope) : name.startsWith("s")
+                ? texts(depth, scope)
                 : "request.parts";
         return range + "." + macro + "(" + name + ", " + bool(depth, scope + " " + name) + ")";
     }
@@ -85,14 +91,18 @@
         }
         int d = depth - 1;
         return switch (random.nextInt(9)) {
-            case 0, 1 -> "(" + whole(d, scope) + one(" + ", " - ", " * ", " / ", " % ") + whole(d, scope) + ")";
+            case 0, 1 -> "(" + whole(d, scope) + one(" + ", " - ", " * ", " / ", " % ") + whole(d, scope)
+                    + ")";
             case 2 -> "-(" + whole(d, scope) + ")";
-            case 3 -> "size(" + one(text(d, scope), texts(d, scope), "request.headers", "request.parts") + ")";
+            case 3 -> "size(" + one(text(d, scope), texts(d, scope), "request.headers", "request.parts")
+                    + ")";
             case 4 -> "int(" + one(number(d, scope), text(d, scope)) + ")";
-            case 5 -> "hash(" + text(d, scope) + ", " + one(whole(d, scope), number(d, scope), span(d, scope)) + ")";
+            case 5 -> "hash(" + text(d, scope) + ", " + one(whole(d, scope), number(d, scope),
+                    span(d, scope)) + ")";
             case 6 -> wholes(d, scope) + "[" + whole(d, scope) + "]";
             case 7 -> whole(d, scope).replaceAll("^-(\\d.*)$", "(-$1)") + ".orValue(" + whole(d, scope) + ")";
-            default -> one(span(d, scope) + ".getMilliseconds()", "(" + bool(d, scope) + " ? " + whole(d, scope)
+            default -> one(span(d, scope) + ".getMilliseconds()", "(" + bool(d, scope) + " ? "
+                    + whole(d, scope)
                     + " : " + whole(d, scope) + ")");
         };
     }
@@ -119,17 +129,20 @@
     String text(int depth, String scope) {
         if (depth <= 0) {
             String part = variable(scope, "p", "");
-            return part.isEmpty() ? variable(scope, "s", one(one(TEXTS), "request.product", "request.headers['h0']",
+            return part.isEmpty() ? variable(scope, "s", one(one(TEXTS), "request.product",
+                    "request.headers['h0']",
                     "request.headers.h1")) : part + ".key";
         }
         int d = depth - 1;
         return switch (random.nextInt(6)) {
             case 0 -> "(" + text(d, scope) + " + " + text(d, scope) + ")";
             case 1 -> text(d, scope) + ".lowerAscii()";
-            case 2 -> "string(" + one(whole(d, scope), number(d, scope), span(d, scope), bool(d, scope)) + ")";
+            case 2 -> "string(" + one(whole(d, scope), number(d, scope), span(d, scope), bool(d, scope))
+                    + ")";
             case 3 -> "(" + bool(d, scope) + " ? " + text(d, scope) + " : " + text(d, scope) + ")";
             case 4 -> text(d, scope) + ".orValue(" + text(d, scope) + ")";
-            default -> one("request.headers[" + text(d, scope) + "]", "{'a': 'b', 'corfu': 'k'}[" + text(d, scope)
+            default -> one("request.headers[" + text(d, scope) + "]", "{'a': 'b', 'corfu': 'k'}["
+                    + text(d, scope)
                     + "]", texts(d, scope) + "[" + whole(d, scope) + "]");
         };
     }
@@ -141,7 +154,8 @@
         String name = "i" + ++variables;
         int d = depth - 1;
         return one("[" + whole(d, scope) + ", " + whole(d, scope) + "]", "(" + wholes(d, scope) + " + "
-                + wholes(d, scope) + ")", wholes(d, scope) + ".filter(" + name + ", " + bool(d, scope + " " + name)
+                + wholes(d, scope) + ")", wholes(d, scope) + ".filter(" + name + ", "
+                        + bool(d, scope + " " + name)
                 + ")", wholes(d, scope) + ".map(" + name + ", " + whole(d, scope + " " + name) + ")",
                 "request.parts.map(p" + name + ", " + whole(d, scope + " p" + name) + ")");
     }
--- a/src/test/java/gladewing/expr/Records.java
+++ b/src/test/java/gladewing/expr/Records.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Random;
 
-/** A schema of every kind of field, and made-up requests in it; some fields have no value, some are too large. */
+/**
+ * A schema of every kind of field, and made-up requests in it; some fields have no value, some are too large.
+ */
 final class Records {
     static final Type REQUEST = Type.record("request");
     private static final Type PART = Type.record("part");
@@ -15,7 +17,8 @@
     private static final String[] TEXTS = {"", "a", "corfu", "Corfu-1", "clinic-report", "7", "-12", "1.5",
         "x".repeat(LONGEST), "x".repeat(LONGEST + 1), "\u20ac\ud83d\ude00"};
     private static final long[] WHOLES = {0, 1, -1, 2, 7, 1000, Long.MAX_VALUE, Long.MIN_VALUE};
-    private static final double[] NUMBERS = {0, -0.0, 1, 0.5, -2.25, 1e300, Double.NaN, Double.NEGATIVE_INFINITY};
+    private static final double[] NUMBERS = {0, -0.0, 1, 0.5, -2.25, 1e300, Double.NaN,
+            Double.NEGATIVE_INFINITY};
 
     private Records() { }
 
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -34,7 +34,8 @@
 class NodesTest implements Reports, Loop.Turns {
     private static final Span LONG = Span.ofMillis(60_000);
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
     private final StringBuilder told = new StringBuilder();
@@ -60,13 +61,15 @@
         start(connections, withdrawals, idle, Span.ofMillis(2000));
     }
 
-    private void start(int connections, boolean withdrawals, Span idle, Span connectTimeOut) throws Exception {
+    private void start(int connections, boolean withdrawals, Span idle,
+            Span connectTimeOut) throws Exception {
         run(() -> {
             Loop loop = new Loop(thread);
             loop.start(this);
             Bootstrap bootstrap = new Bootstrap().group(thread).channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
-            nodes = new Nodes(loop, (handler, to) -> bootstrap.clone().handler(handler).connect(to), new NodeLimits(4, 2, connectTimeOut, idle,
+            nodes = new Nodes(loop, (handler, to) -> bootstrap.clone().handler(handler).connect(to),
+                    new NodeLimits(4, 2, connectTimeOut, idle,
                     connections, withdrawals, true), this);
         });
     }
@@ -130,7 +133,9 @@
         }
     }
 
-    /** A machine that vanished and came back says nothing on its old connections: a new start ends their use. */
+    /**
+     * A machine that vanished and came back says nothing on its old connections: a new start ends their use.
+     */
     @Test
     void connectionsFromBeforeARestartAreNotUsed() throws Exception {
         try (NodeStandIn node = new NodeStandIn()) {
@@ -198,11 +203,14 @@
         }
     }
 
-    /** Nobody takes the connection up: that is no probe without an answer, which a node that is there may owe. */
+    /**
+     * Nobody takes the connection up: that is no probe without an answer, which a node that is there may owe.
+     */
     @Test
     void aProbeWhoseConnectionNeverComesUp() throws Exception {
         start(10, true, LONG);
-        try (ServerSocket deaf = new ServerSocket(0, 1); Socket one = new Socket("127.0.0.1", deaf.getLocalPort());
+        try (ServerSocket deaf = new ServerSocket(0, 1); Socket one =
+                new Socket("127.0.0.1", deaf.getLocalPort());
                 Socket two = new Socket("127.0.0.1", deaf.getLocalPort())) {
             assertTrue(one.isConnected() && two.isConnected(), "the queue of the listener is full");
             list("deaf", deaf.getLocalPort());
@@ -212,7 +220,10 @@
         assertEquals("end: probe of deaf NOT_WRITTEN\n", told.toString());
     }
 
-    /** Rule 1: what waits for its connection is not sent once its multiget has ended, though it can't be withdrawn. */
+    /**
+     * Rule 1: what waits for its connection is not sent once its multiget has ended, though it can't be
+     * withdrawn.
+     */
     @Test
     void nothingIsSentAfterTheFinalAnswer() throws Exception {
         try (NodeStandIn node = new NodeStandIn()) {
@@ -234,7 +245,9 @@
         }
     }
 
-    /** Where nothing may be withdrawn, a part that timed out keeps its place until the node has answered it. */
+    /**
+     * Where nothing may be withdrawn, a part that timed out keeps its place until the node has answered it.
+     */
     @Test
     void placesOnAConnection() throws Exception {
         try (NodeStandIn node = new NodeStandIn()) {
--- a/src/test/java/gladewing/routes/RoutesTest.java
+++ b/src/test/java/gladewing/routes/RoutesTest.java
@@ -107,7 +107,8 @@
             }
             for (int i = 0; i < 200; i++) {
                 Asked request = asked(pick(random, "a", "b", "c"), pick(random, "/a", "/ab/c", "/b", "/", ""),
-                        pick(random, "x", "z"), pick(random, "1", "2", "3"), "y", pick(random, "p", "pq", "q"));
+                        pick(random, "x", "z"), pick(random, "1", "2", "3"), "y",
+                                pick(random, "p", "pq", "q"));
                 request.tenant = pick(random, "north", "south", null);
                 Decision decision = outcome.table().plainly(request);
                 Route won = decision.route();
--- a/src/test/java/gladewing/serve/RoutesServeTest.java
+++ b/src/test/java/gladewing/serve/RoutesServeTest.java
@@ -74,16 +74,19 @@
         String value = "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"v\"}]}";
         assertEquals(value, served(client, "report", "r1", "X-Clinic: corfu\r\n"));
         // Turned away at once, before anything is sent, and the connection goes on.
-        assertEquals("429 come back later", client.send(request("report", "r2", "x-clinic: closed\r\n")).response());
+        assertEquals("429 come back later", client.send(request("report", "r2",
+                "x-clinic: closed\r\n")).response());
         assertTrue(a.silent());
-        assertEquals("429 come back later", client.send(request("report", "r2", "x-clinic: closed\r\n")).response());
+        assertEquals("429 come back later", client.send(request("report", "r2",
+                "x-clinic: closed\r\n")).response());
         for (int i = 0; i < 2; i++) {
             assertEquals(value, served(client, "sheet", "s" + i, "X-Desk: 1\r\n"));
         }
         assertEquals("429 come back later", client.send(request("sheet", "s2", "X-Desk: 1\r\n")).response());
         assertEquals(value, served(client, "sheet", "s3", "X-Desk: 2\r\n"));
         assertEquals(value, served(client, "sheet", "s4", ""));
-        // As an order it has no effect twice: a broken connection ends it, where a report would be sent again.
+        // As an order it has no effect twice: a broken connection ends it, where a report would be sent
+        // again.
         client.send(request("report/careful", "r5", ""));
         a.next().close();
         assertEquals("504", client.response());
@@ -104,7 +107,8 @@
             try {
                 Client client = new Client();
                 for (int i = 0; i < 300; i++) {
-                    String response = client.send(request("report", "l" + i, "x-clinic: closed\r\n")).response();
+                    String response = client.send(request("report", "l" + i,
+                            "x-clinic: closed\r\n")).response();
                     assertEquals("429 come back later", response);
                 }
                 told("load", "300 turned away");
@@ -129,7 +133,8 @@
         Client client = new Client();
         assertEquals("200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"v\"}]}",
                 served(client, "report", "r2", "x-clinic: closed\r\n"));
-        assertEquals("429 come back later", client.send(request("report", "r3", "x-clinic: shut\r\n")).response());
+        assertEquals("429 come back later", client.send(request("report", "r3",
+                "x-clinic: shut\r\n")).response());
         call.answer("r1.0", "ok", "old");
         assertEquals("200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"old\"}]}", open.response());
     }
@@ -138,7 +143,9 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
     }
 
-    /** Off, nothing of the subsystem is loaded; on, it is. A table that can't be used is told whole, with 1. */
+    /**
+     * Off, nothing of the subsystem is loaded; on, it is. A table that can't be used is told whole, with 1.
+     */
     @Test
     void whatIsOffLoadsNothing() throws Exception {
         jvm.add("-Xlog:class+load:file=" + folder.resolve("classes.txt"));
@@ -178,10 +185,12 @@
             "{\"shards\":[{\"shard\":0,\"weight\":0.999}],\"q\":\"c\"}", "{\"shards\":[],\"q\":\"c\"}",
             "{\"shards\":[{\"shard\":0,\"weight\":1,\"cost\":1e12}],\"q\":\"c\"}"};
         for (String body : bad) {
-            assertEquals("400 close", new Client().send("POST /report HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout-Ms: 3000\r\n"
+            assertEquals("400 close",
+                    new Client().send("POST /report HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout-Ms: 3000\r\n"
                     + "Content-Length: " + body.length() + "\r\n\r\n" + body).response(), body);
         }
-        assertEquals("400 close", new Client().send(request("report", "r", "").replace("3000", "999999999")).response());
+        assertEquals("400 close", new Client().send(request("report", "r", "").replace("3000",
+                "999999999")).response());
         // What rounding to six digits leaves of three thirds is good.
         Client client = new Client();
         String thirds = "{\"shards\":[{\"shard\":0,\"weight\":0.333333},{\"shard\":1,\"weight\":0.333333},"
--- a/src/test/java/gladewing/serve/ServeRig.java
+++ b/src/test/java/gladewing/serve/ServeRig.java
@@ -206,13 +206,15 @@
         }
 
         synchronized String answerTo(String asked) throws IOException {
-            int after = asked.contains("after=") ? Integer.parseInt(asked.replaceAll(".*after=(\\d+).*", "$1")) : -1;
+            int after = asked.contains("after=") ? Integer.parseInt(asked.replaceAll(".*after=(\\d+).*",
+                    "$1")) : -1;
             calls++;
             firstAsked = firstAsked == null ? asked : firstAsked;
             notifyAll();
             boolean lost = loseNext;
             loseNext = false;
-            long until = System.nanoTime() + 1_000_000L * (after < 0 ? 0 : Long.parseLong(asked.replaceAll(".*wait_ms=(\\d+).*", "$1")));
+            long until = System.nanoTime() + 1_000_000L * (after < 0 ? 0
+                    : Long.parseLong(asked.replaceAll(".*wait_ms=(\\d+).*", "$1")));
             try {
                 while (lost || answer == null || revision <= after) {
                     if (!lost && answer != null && System.nanoTime() > until) {
@@ -244,14 +246,17 @@
         }
 
         static String listing(int newRevision, boolean all, String... targets) {
-            String body = "{\"rev\":" + newRevision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
-            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
+            String body = "{\"rev\":" + newRevision + ",\"all\":" + all + ",\"targets\":["
+                    + String.join(",", targets) + "]}";
+            return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(body.length())
                     + "\r\n" + body + "\r\n0\r\n\r\n";
         }
     }
 
     static String target(String uid, String endpoint, int cell, String state) {
-        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint + "\",\"az\":\"x\",\"model\":\"m\",\"pod_group\":" + cell
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint
+                + "\",\"az\":\"x\",\"model\":\"m\",\"pod_group\":" + cell
                 + ",\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
     }
 
@@ -271,11 +276,13 @@
         Client ask(String product, String id, int... shards) throws IOException {
             StringBuilder parts = new StringBuilder();
             for (int shard : shards) {
-                parts.append(parts.length() == 0 ? "" : ",").append("{\"shard\":").append(shard).append(",\"weight\":")
+                parts.append(parts.length() == 0 ? ""
+                        : ",").append("{\"shard\":").append(shard).append(",\"weight\":")
                         .append(1.0 / shards.length).append('}');
             }
             String body = "{\"shards\":[" + parts + "],\"q\":\"c4\"}";
-            return send("POST /" + product + " HTTP/1.1\r\nX-Request-ID: " + id + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: "
+            return send("POST /" + product + " HTTP/1.1\r\nX-Request-ID: " + id
+                    + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: "
                     + body.length() + "\r\n\r\n" + body);
         }
 
@@ -292,7 +299,8 @@
             int length = Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
             String body = new String(socket.getInputStream().readNBytes(length), StandardCharsets.UTF_8);
             return head.substring(9, 12) + (head.indexOf("Retry-After: ") > 0 ? " come back later" : "")
-                    + (head.indexOf("Connection: close") > 0 ? " close" : "") + (length > 0 ? " " + body : "");
+                    + (head.indexOf("Connection: close") > 0 ? " close" : "")
+                            + (length > 0 ? " " + body : "");
         }
 
         void leave() throws IOException {
@@ -319,7 +327,8 @@
         return run(config, folder, List.of(), List.of());
     }
 
-    static Process run(Path config, Path folder, List<String> jvm, List<String> arguments) throws IOException {
+    static Process run(Path config, Path folder, List<String> jvm,
+            List<String> arguments) throws IOException {
         List<String> line = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx48m",
                 "-XX:TieredStopAtLevel=1"));
@@ -345,7 +354,8 @@
             }
             config = folder.resolve("config.json");
             Files.writeString(config, Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:" + port)
-                    .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort()).replace("\"KNOWN\"", known)
+                    .replace("DISCOVERY", "127.0.0.1:"
+                            + discovery.listener.getLocalPort()).replace("\"KNOWN\"", known)
                     .replace("\"sockets\":256", "\"sockets\":" + descriptors));
             program = run(config, folder, jvm, arguments);
             Process started = program;
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -23,7 +23,9 @@
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
-/** The started program, spoken to over loopback sockets by stand-ins for clients, data nodes and discovery. */
+/**
+ * The started program, spoken to over loopback sockets by stand-ins for clients, data nodes and discovery.
+ */
 public class ServeTest extends ServeRig {
     @Test
     void answersWholeInPartAndNotAtAll() throws Exception {
@@ -94,12 +96,15 @@
         same("serve-broken.txt");
     }
 
-    /** What is spoilt ends its connection and is sent again; none is served but the value made for its part. */
+    /**
+     * What is spoilt ends its connection and is sent again; none is served but the value made for its part.
+     */
     @Test
     void badFramesEndTheirConnectionAlone() throws Exception {
         startWithList();
         Client client = new Client();
-        String[] bad = {"E", "letter", "no line", "length 0", "length 3 GB", "noise", "unknown id", "unknown end", "no score",
+        String[] bad = {"E", "letter", "no line", "length 0", "length 3 GB", "noise", "unknown id",
+                "unknown end", "no score",
             "no text", "a letter for a length", "line without end", "rest that never comes"};
         for (int i = 0; i < bad.length; i++) {
             client.ask("report", "r" + i, 0, 1);
@@ -115,10 +120,13 @@
                 case "unknown id" -> toA.answer("r" + i + ".3", "ok", "three");
                 case "unknown end" -> toA.answer("r" + i + ".0", "oak", "zero");
                 case "no score" -> toA.write('A', "r" + i + ".0 ok x -\nzero");
-                case "no text" -> toA.raw(("\u0010\u0000\u0000\u0000Ar" + i + ".0 ok 1 -\n\u00ff\u00fe").getBytes(StandardCharsets.ISO_8859_1));
+                case "no text" -> toA.raw(("\u0010\u0000\u0000\u0000Ar" + i
+                        + ".0 ok 1 -\n\u00ff\u00fe").getBytes(StandardCharsets.ISO_8859_1));
                 case "a letter for a length" -> toA.raw(new byte[] {9, 0, 0, 0, 'q'});
-                case "line without end" -> toA.raw(("\u0000\u0080\u0000\u0000A" + "x".repeat(3000)).getBytes(StandardCharsets.ISO_8859_1));
-                default -> toA.raw(("\u0000\u0080\u0000\u0000Ar" + i + ".0 ok 1 -\nzero").getBytes(StandardCharsets.ISO_8859_1));
+                case "line without end" -> toA.raw(("\u0000\u0080\u0000\u0000A"
+                        + "x".repeat(3000)).getBytes(StandardCharsets.ISO_8859_1));
+                default -> toA.raw(("\u0000\u0080\u0000\u0000Ar" + i
+                        + ".0 ok 1 -\nzero").getBytes(StandardCharsets.ISO_8859_1));
             }
             NodeStandIn.Call again = a.next();
             again.answer("r" + i + ".0", "ok", "zero");
@@ -150,7 +158,8 @@
         Client client = new Client().ask("report", "r9", 0);
         a.next().answer("r9.0", "ok", "still there");
         told.append(client.response()).append('\n');
-        assertEquals(Trace.kept("serve-bad-requests.txt") + "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"still there\"}]}\n",
+        assertEquals(Trace.kept("serve-bad-requests.txt")
+                + "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"still there\"}]}\n",
                 told.toString());
     }
 
@@ -159,7 +168,8 @@
         int body = raw.indexOf("||");
         String head = body < 0 ? raw : raw.substring(0, body);
         String rest = body < 0 ? "" : raw.substring(body + 2);
-        String length = head.contains("Length") || head.contains("Encoding") ? "" : "|Content-Length: " + rest.length();
+        String length = head.contains("Length") || head.contains("Encoding") ? "" : "|Content-Length: "
+                + rest.length();
         Client client = new Client().send((head + length + "||" + rest).replace("|", "\r\n"));
         String response = client.response();
         client.leave();
@@ -171,7 +181,8 @@
         start("{\"rev\":1,\"all\":true,\"targets\":[" + target("b", "127.0.0.1:9", 1, "up") + "]}");
         awaitReady("200");
         told("ready", "by what was known, as discovery is silent");
-        String[] bad = {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}}",
+        String[] bad = {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}}",
             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "nonsense\r\n\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"};
         for (String answer : bad) {
@@ -188,11 +199,14 @@
         long before = System.nanoTime();
         discovery.loseNext = true;
         discovery.awaitCall(calls + 2);
-        told("a call that is never answered holds news back for 5 s or more", System.nanoTime() - before >= 5_000_000_000L);
+        told("a call that is never answered holds news back for 5 s or more",
+                System.nanoTime() - before >= 5_000_000_000L);
         same("serve-discovery.txt");
     }
 
-    /** Who says nothing, or never ends what it says, is told so in time; one between two requests is served. */
+    /**
+     * Who says nothing, or never ends what it says, is told so in time; one between two requests is served.
+     */
     @Test
     void silentAndEndlessClients() throws Exception {
         startWithList();
@@ -220,7 +234,9 @@
         same("serve-silent.txt");
     }
 
-    /** Six connections for clients: idle ones give way; with none idle, the next waits until one is answered. */
+    /**
+     * Six connections for clients: idle ones give way; with none idle, the next waits until one is answered.
+     */
     @Test
     void aFullClientSide() throws Exception {
         startWithList(64 + 8);
@@ -262,7 +278,8 @@
         call.answer("r1.0", "ok", "zero");
         told("one from before it", client.response());
         idle.ask("order", "r4", 1);
-        told("and again, unanswered until the program must end", b.next() + ", " + idle.response() + ", then " + idle.response());
+        told("and again, unanswered until the program must end", b.next() + ", " + idle.response()
+                + ", then " + idle.response());
         told("the others", late.response() + ", " + client.response());
         assertTrue(program.waitFor(PATIENCE_S, TimeUnit.SECONDS));
         told("exit", program.exitValue());
@@ -285,7 +302,9 @@
         assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + program.pid()).start().waitFor());
     }
 
-    /** The watch moves with an open multiget and a connection kept; files that can't be used change nothing. */
+    /**
+     * The watch moves with an open multiget and a connection kept; files that can't be used change nothing.
+     */
     @Test
     void aNewConfigurationOnASignal() throws Exception {
         startWithList();
@@ -294,7 +313,8 @@
         Discovery earlier = discovery;
         discovery = new Discovery();
         String before = Files.readString(config);
-        String moved = before.replaceAll("(\"discovery\":\"127.0.0.1:)\\d+", "$1" + discovery.listener.getLocalPort());
+        String moved = before.replaceAll("(\"discovery\":\"127.0.0.1:)\\d+", "$1"
+                + discovery.listener.getLocalPort());
         hangUp(moved.substring(0, 300));
         told("log", logged("stays").replaceAll(".*Program: |: not JSON.*", ""));
         hangUp(moved.replace("\"sockets\":256", "\"sockets\":512"));
@@ -324,11 +344,14 @@
     @Test
     void unusableConfigurations() throws Exception {
         Path config = folder.resolve("bad.json");
-        String good = Trace.kept("serve-config.json").replace("\"KNOWN\"", "{\"rev\":1,\"all\":true,\"targets\":[]}")
+        String good = Trace.kept("serve-config.json").replace("\"KNOWN\"",
+                "{\"rev\":1,\"all\":true,\"targets\":[]}")
                 .replace("DISCOVERY", "127.0.0.1:9");
-        String[] texts = {null, "{", good.replace("LISTEN", "name:5000"), good.replace("LISTEN", "127.0.0.1:1").replace("\"Tick\"", "\"T\""),
+        String[] texts = {null, "{", good.replace("LISTEN", "name:5000"),
+                good.replace("LISTEN", "127.0.0.1:1").replace("\"Tick\"", "\"T\""),
             good.replace("LISTEN", "127.0.0.1:1").replace("non_idempotent", "idempotency_key"),
-            good.replace("LISTEN", "127.0.0.1:1").replace("[0,0,0]", "[0,2,0]"), good.replace("LISTEN", "192.0.2.1:5000")};
+            good.replace("LISTEN", "127.0.0.1:1").replace("[0,0,0]", "[0,2,0]"),
+                    good.replace("LISTEN", "192.0.2.1:5000")};
         for (String text : texts) {
             Files.deleteIfExists(config);
             if (text != null) {
