--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -8,7 +8,10 @@
 import gladewing.router.Span;
 import gladewing.router.Time;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The module for callers on sockets: each call returns when it is decided, with what to do now. A turn is
@@ -110,6 +113,42 @@
         return orders;
     }
 
+    /**
+     * The node for each shard of a long-lived session, by the pick that multigets have, none of those to be
+     * avoided; null where none is fit and ready. Nothing is sent.
+     */
+    public String[] place(int product, Collection<String> avoided, int... shards) {
+        orders.clear();
+        Set<Integer> indices = new HashSet<>();
+        for (String node : avoided) {
+            if (nodes.index(node) != null) {
+                indices.add(nodes.index(node));
+            }
+        }
+        int[] placed = router.place(product, indices, shards);
+        String[] names = new String[placed.length];
+        for (int i = 0; i < placed.length; i++) {
+            names[i] = placed[i] < 0 ? null : nodes.name(placed[i]);
+        }
+        return names;
+    }
+
+    /** A leg of a session is up at the node, or has ended there. */
+    public void weigh(String node, double by) {
+        Integer index = nodes.index(node);
+        if (index != null) {
+            router.weigh(index, by);
+        }
+    }
+
+    /** A leg of a session could not be opened at the node, or broke. */
+    public void sessionFailed(String node) {
+        Integer index = nodes.index(node);
+        if (index != null) {
+            router.sessionFailed(index);
+        }
+    }
+
     private void letGo(Taken taken) {
         if (taken.ended && taken.out == 0 && open.get(taken.ref) == taken) {
             open.set(taken.ref, null);
--- a/src/main/java/gladewing/decisions/NodeTable.java
+++ b/src/main/java/gladewing/decisions/NodeTable.java
@@ -99,6 +99,10 @@
         return indices.get(id);
     }
 
+    public K name(int index) {
+        return nodes.get(index).id;
+    }
+
     public void back(int index) {
         nodes.get(index).out--;
         letGo(index);
--- a/src/main/java/gladewing/router/Node.java
+++ b/src/main/java/gladewing/router/Node.java
@@ -7,6 +7,8 @@
     final Time startedAt;
     boolean listed;
     int inFlight;
+    /** What long-lived sessions weigh on it, in places of multigets' parts. */
+    double sessions;
     double limit;
     int failures;
     Time failedAt;
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -307,6 +307,44 @@
         return !fit.isEmpty() && fit.stream().allMatch(n -> load(n) >= UNANSWERED);
     }
 
+    /**
+     * The node for each shard of a session, by the cover that multigets have; -1 where none is fit and ready.
+     * Nothing is sent; what the caller then opens is work to a cold node, and counts as that.
+     */
+    public int[] place(int product, Set<Integer> avoided, int... shards) {
+        Multiget session = new Multiget(this, -1, product, settings.products().get(product), 0, now, now);
+        List<Part> unplaced = new ArrayList<>();
+        for (int shard : shards) {
+            session.parts.add(new Part(session, unplaced.size(), shard, 0));
+            unplaced.add(session.parts.get(unplaced.size()));
+        }
+        cover(unplaced, false, false, avoided);
+        int[] nodes = new int[shards.length];
+        session.parts.forEach(p -> nodes[p.index] = -1);
+        for (Pick pick : session.picks) {
+            pick.parts.forEach(p -> nodes[p.index] = pick.node.index);
+        }
+        return nodes;
+    }
+
+    /** Sessions weigh on the node from now on by so much more, or less. */
+    public void weigh(int index, double by) {
+        Node node = fleet.at(index);
+        if (node != null) {
+            node.sessions = Math.max(0, node.sessions + by);
+            if (by > 0 && warmth(node) < 1) {
+                node.sent.add(now, 0, partTimes.work(now, 0, 10));
+            }
+        }
+    }
+
+    /** A session could not be opened there: a failure as any other. */
+    public void sessionFailed(int index) {
+        if (fleet.at(index) != null) {
+            strike(fleet.at(index));
+        }
+    }
+
     public void wake() {
         waking = false;
     }
@@ -368,9 +406,14 @@
                 || crowded && node.heardAt != null && overdue.longerThan(now.since(node.heardAt));
     }
 
+    /** Sessions take places, but never the last one: the limit grows by what is sent, or not at all. */
+    private int places(Node node) {
+        return Math.max(1, (int) (node.limit - node.sessions));
+    }
+
     /** A node on trial gets one call at a time, so that a wrong trust costs one multiget and not many. */
     private boolean ready(Node node) {
-        int most = trusted(node) ? (int) node.limit : 1;
+        int most = trusted(node) ? places(node) : 1;
         return node.listed && node.inFlight < most && strain(node) < OVERFULL;
     }
 
@@ -503,7 +546,7 @@
         // The median guards products whose own work is longer: their limits must not all sink to one.
         if (!slept && took.longerThan(Span.longest(wanted.times(0.13), typical))) {
             cut(t);
-        } else if (node.inFlight + 1 >= (int) node.limit) {
+        } else if (node.inFlight + 1 >= places(node)) {
             node.limit++;
         }
     }
@@ -697,9 +740,13 @@
 
     /** The design's loop. As the last resort, held parts may go to unfit nodes, the least doubtful first. */
     private void cover(List<Part> unsent, boolean lastResort, boolean copies) {
+        cover(unsent, lastResort, copies, Set.of());
+    }
+
+    private void cover(List<Part> unsent, boolean lastResort, boolean copies, Set<Integer> avoided) {
         List<Node> widest = new ArrayList<>();
         List<Node> candidates = fleet.holders(unsent);
-        candidates.removeIf(n -> !ready(n) || !lastResort && !fit(n) || copies && !knownLight(n, OVERFULL));
+        candidates.removeIf(n -> avoided.contains(n.index) || !ready(n) || !lastResort && !fit(n) || copies && !knownLight(n, OVERFULL));
         candidates.forEach(n -> n.covers = 0);
         unsent.forEach(p -> count(p, 1));
         while (!unsent.isEmpty()) {
