Live sessions on sockets: upgrades, legs to data nodes, moves in order, closes with patience

Need: sessions must survive deploys and deaths of nodes in order, and whoever misbehaves must end alone.

Sessions have descriptors of their own.

Off, no class is loaded.

--- a/src/main/java/gladewing/Main.java
+++ b/src/main/java/gladewing/Main.java
@@ -11,22 +11,34 @@
 
     public static void main(String[] args) throws IOException {
         String command = args.length == 0 ? "" : args[0];
-        boolean alone = args.length == 1;
-        if (command.equals("benchlink") && alone) {
+        if (command.equals("benchlink") && args.length == 1) {
             System.exit(new BenchLink(System.in, System.out, System.err).run());
         }
-        if (command.equals("serve") && (alone || args.length == 3 && args[1].equals("--routes"))) {
-            System.exit(Program.run(System.getenv("RELAY_CONFIG"), alone ? null : args[2], System.err));
+        String routes = option(args, "--routes");
+        String live = option(args, "--live");
+        int known = 1 + (routes == null ? 0 : 2) + (live == null ? 0 : 2);
+        if (command.equals("serve") && args.length == known) {
+            System.exit(Program.run(System.getenv("RELAY_CONFIG"), routes, live, System.err));
         }
         if (command.equals("routes") || command.equals("expr")) {
             System.exit(Commands.run(args, System.out, System.err));
         }
         System.err.println("usage: java -jar gladewing.jar "
-                + "benchlink | serve [--routes FILE] | routes | expr");
+                + "benchlink | serve [--routes FILE] [--live FILE] | routes | expr");
         System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output\n"
                 + "  serve       be a router on sockets; RELAY_CONFIG names its configuration\n"
                 + "  routes      check, explain and replay a table of routes; routes --help\n"
                 + "  expr        try an expression; expr --help");
         System.exit(2);
     }
+
+    /** By hand: the library that reads the operators' commands costs `serve` its start. */
+    private static String option(String[] args, String name) {
+        for (int i = 1; i + 1 < args.length; i += 2) {
+            if (args[i].equals(name)) {
+                return args[i + 1];
+            }
+        }
+        return null;
+    }
 }
--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -32,6 +32,8 @@
     private final MessageReader message = new MessageReader();
     private Channel channel;
     private Exchange open;
+    /** What has taken the connection over; null while it speaks HTTP. */
+    private Upgraded upgraded;
     private boolean keep = true;
     private boolean over;
     private boolean toldToGoOn;
@@ -67,7 +69,11 @@
         } finally {
             bytes.release();
         }
-        next();
+        if (upgraded != null) {
+            upgraded.read(in);
+        } else {
+            next();
+        }
     }
 
     private void next() {
@@ -81,6 +87,11 @@
             toldToGoOn = false;
             owedSince = in.size() == 0 ? null : usedAt;
             boolean usable = progress == MessageReader.Progress.MESSAGE;
+            upgraded = usable ? clients.upgrade(this, channel, message) : null;
+            if (upgraded != null) {
+                upgraded.read(in);
+                return;
+            }
             keep = usable && message.keepsAlive();
             int status = usable ? clients.reader.read(message) : message.status();
             if (status == 0 && !clients.begun(clients.reader.id())) {
@@ -117,7 +128,11 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        clients.loop.later(this::next);
+        if (upgraded != null) {
+            upgraded.writable(channel.isWritable());
+        } else {
+            clients.loop.later(this::next);
+        }
     }
 
     private void tellToGoOn() {
@@ -216,6 +231,9 @@
         clients.loop.pass();
         over = true;
         clients.closed(this);
+        if (upgraded != null) {
+            upgraded.closed();
+        }
         if (open != null) {
             Exchange left = open;
             open = null;
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -1,5 +1,6 @@
 package gladewing.clients;
 
+import gladewing.http.MessageReader;
 import gladewing.loop.Loop;
 import gladewing.router.Span;
 import gladewing.router.Time;
@@ -31,6 +32,10 @@
     private final Set<String> openIds = new HashSet<>();
     /** Null where nothing is routed: then no class of what routes is loaded. */
     private Gate gate;
+    /** Null where no connection is ever taken over. */
+    private Upgrades upgrades;
+    /** Taken over: these have limits of their own, and take nobody's place here. */
+    private final Set<ClientConnection> upgraded = new LinkedHashSet<>();
     private Channel listener;
     private boolean ready;
     private Time until;
@@ -67,6 +72,20 @@
         gate = new Gate(table, gate);
     }
 
+    public void upgradeBy(Upgrades by) {
+        upgrades = by;
+    }
+
+    /** Null where the request asks for no upgrade, or there are none. */
+    Upgraded upgrade(ClientConnection connection, Channel channel, MessageReader request) {
+        Upgraded taken = upgrades == null || !ready || closing ? null : upgrades.upgrade(channel, request);
+        if (taken != null) {
+            connections.remove(connection);
+            upgraded.add(connection);
+        }
+        return taken;
+    }
+
     /** What is done with the request that was read last; null where nothing is routed. */
     Decision routed(Span left) {
         return gate == null ? null : gate.route(reader, left, loop.pass());
@@ -112,7 +131,7 @@
     }
 
     public boolean empty() {
-        return connections.isEmpty();
+        return connections.isEmpty() && upgraded.isEmpty();
     }
 
     /**
@@ -157,6 +176,7 @@
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
+        upgraded.remove(connection);
         full = false;
         listener.config().setAutoRead(true);
     }
--- /dev/null
+++ b/src/main/java/gladewing/clients/Upgrades.java
@@ -0,0 +1,10 @@
+package gladewing.clients;
+
+import gladewing.http.MessageReader;
+import io.netty.channel.Channel;
+
+/** Takes over connections whose requests ask for it. */
+public interface Upgrades {
+    /** Null where the request asks for no upgrade, and is one like any other. */
+    Upgraded upgrade(Channel channel, MessageReader request);
+}
--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -16,7 +16,7 @@
 /** All that one real router is told at its start. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, Fields known, Settings settings, List<String> products, List<String> tenants, int shards,
-        Connections connections) {
+        Connections connections, Span drainGrace) {
 
     /** What the settings say of connections to data nodes. */
     public record Connections(int partsPerConnection, int partsPerCall, Span connectTimeOut, Span idle,
@@ -69,7 +69,7 @@
                 (int) config.object("limits").whole("sockets"), config.object("known"), settings,
                 names(facts, "RequestClasses"),
                 facts.has("Tenants") ? names(facts, "Tenants") : List.of(), (int) shards.whole("Ranges"),
-                connections);
+                connections, Span.ofMillis(facts.object("Rules").number("DrainGrace", 2000)));
     }
 
     private static List<String> names(Fields facts, String table) {
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -118,7 +118,6 @@
      * avoided; null where none is fit and ready. Nothing is sent.
      */
     public String[] place(int product, Collection<String> avoided, int... shards) {
-        orders.clear();
         Set<Integer> indices = new HashSet<>();
         for (String node : avoided) {
             if (nodes.index(node) != null) {
--- a/src/main/java/gladewing/live/LivePlan.java
+++ b/src/main/java/gladewing/live/LivePlan.java
@@ -54,6 +54,7 @@
     /** Those that have a shard without a leg that may stay, in the order in which they came to it. */
     private final Set<Session> wanting = new LinkedHashSet<>();
     private final Map<Integer, Integer> byTenant = new LinkedHashMap<>();
+    private int legs;
     private long numbers;
     /** The time of the call that is being decided. */
     private long clock;
@@ -248,6 +249,7 @@
         boolean orderly = leg.state == Leg.State.RETIRED;
         leg.state = Leg.State.ENDED;
         Session session = leg.of;
+        legs--;
         session.legs.remove(leg);
         if (!opening) {
             picker.weigh(leg.node, -settings.weight());
@@ -300,6 +302,7 @@
         if (leg.state == Leg.State.OPENING || leg.state == Leg.State.UP) {
             // One that is not up yet is let go of, and weighs nothing.
             if (leg.state == Leg.State.OPENING) {
+                legs--;
                 leg.of.legs.remove(leg);
                 Node node = nodes.get(leg.node);
                 leg.state = Leg.State.ENDED;
@@ -464,7 +467,11 @@
                 byNode.computeIfAbsent(placed[i], id -> new ArrayList<>()).add(lacking.get(i));
             }
         }
+        if (legs + byNode.size() > settings.legs()) {
+            return;
+        }
         byNode.forEach((id, places) -> {
+            legs++;
             Node node = nodes.get(id);
             Leg leg = new Leg(session, id, places.stream().mapToInt(p -> p).toArray());
             session.legs.add(leg);
--- a/src/main/java/gladewing/live/LiveSettings.java
+++ b/src/main/java/gladewing/live/LiveSettings.java
@@ -7,7 +7,8 @@
  * How long-lived sessions are kept; times in microseconds. Grace, cold share, cold span and the number of
  * routers are the site's, all else is the section [live] of a settings file.
  */
-public record LiveSettings(int sessions, int perTenant, int perNode, double handshakes, double weight,
+public record LiveSettings(int sessions, int perTenant, int perNode, int legs,
+        double handshakes, double weight,
         int heldBytes,
         int heldBytesInAll, int longestMessage, long opening, long parked, long returning, long closing,
                 long silence,
@@ -23,7 +24,7 @@
     /** Faults are told to the file; null where the section says that it is off, or is not there. */
     public static LiveSettings read(IniFile file, SiteRules site) {
         Section s = file.section(SECTION);
-        s.only("on", "sessions", "sessions-per-tenant", "sessions-per-node", "handshakes", "weight",
+        s.only("on", "sessions", "sessions-per-tenant", "sessions-per-node", "legs", "handshakes", "weight",
                 "held-bytes",
                 "held-bytes-in-all", "longest-message", "opening", "parked", "returning", "closing",
                         "silence",
@@ -33,7 +34,7 @@
         LiveSettings read = new LiveSettings(sessions, (int) s.whole("sessions-per-tenant", sessions, 1,
                 MOST),
                 (int) s.whole("sessions-per-node", sessions, 1, MOST),
-                        s.number("handshakes", 50, 0.1, 100_000),
+                (int) s.whole("legs", 2L * sessions, 1, MOST), s.number("handshakes", 50, 0.1, 100_000),
                 s.number("weight", 0.01, 0, 100), (int) s.whole("held-bytes", 65_536, 1024, MOST),
                 (int) s.whole("held-bytes-in-all", 8 << 20, 1024, 1 << 30),
                 (int) s.whole("longest-message", 16_384, 128, 65_536),
@@ -48,6 +49,9 @@
             s.fault("sessions", read.sessions
                     + ", wanted: no less than sessions-per-tenant and sessions-per-node");
         }
+        if (read.legs < read.sessions) {
+            s.fault("legs", read.legs + ", wanted: no less than sessions, " + read.sessions);
+        }
         if (read.heldBytes < read.longestMessage) {
             s.fault("held-bytes", read.heldBytes + ", wanted: no less than longest-message, "
                     + read.longestMessage);
@@ -55,6 +59,11 @@
         return on ? read : null;
     }
 
+    /** Descriptors that sessions take at most: one for each client, one for each leg. */
+    public int descriptors() {
+        return sessions + legs;
+    }
+
     /** Before the grace is over everything must have left: a close takes its way, and a pass may be late. */
     long lastSend() {
         return grace - Math.min(grace / 4, 250_000);
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -769,7 +769,7 @@
             }
             Node pick = widest.get(random.nextInt(widest.size()));
             int room = room(pick, unsent.get(0).of.product);
-            Pick kept = lastResort || copies ? null : new Pick(pick, stale(pick));
+            Pick kept = lastResort || copies ? null : new Pick(pick, unsent.get(0).of.ref >= 0 && stale(pick));
             if (kept != null && unsent.get(0).of.picks.add(kept) && kept.asked) {
                 probe(pick);
             }
--- a/src/main/java/gladewing/serve/Ending.java
+++ b/src/main/java/gladewing/serve/Ending.java
@@ -5,6 +5,7 @@
 import gladewing.router.Span;
 import gladewing.router.Time;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 
 /**
@@ -28,6 +29,7 @@
     private final Clients clients;
     private final Span longest;
     private final CountDownLatch done = new CountDownLatch(1);
+    private Consumer<Span> sessions = within -> { };
     private boolean begun;
     private Time until;
 
@@ -37,6 +39,11 @@
         this.longest = longest;
     }
 
+    /** Told at the end how long sessions have to be closed in. */
+    void sessions(Consumer<Span> end) {
+        sessions = end;
+    }
+
     /** On the loop's thread. */
     void begin() {
         LOG.info("ending: serves what still comes, and answers all that was taken");
@@ -45,6 +52,7 @@
         clients.setReady(false);
         Span killed = Span.shortest(longest, LONGEST_COUNTED).plus(KILLED_AFTER);
         Span serves = Span.longest(STILL_ACCEPTS.plus(LAST_ANSWERS), killed.minus(TO_END));
+        sessions.accept(serves.minus(LAST_ANSWERS));
         clients.answerBefore(loop.pass().plus(serves));
         loop.after(STILL_ACCEPTS, clients::stopAccepting);
         loop.after(serves.minus(LAST_ANSWERS), () -> {
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -18,8 +18,11 @@
 public final class Program {
     private Program() { }
 
-    /** Serves until it is told to end; the result is the process's exit code. */
-    public static int run(String configPath, String routesPath, PrintStream complaints) {
+    /**
+     * Serves until it is told to end; the result is the process's exit code. The paths of routes and of sessions are
+     * null where there are none.
+     */
+    public static int run(String configPath, String routesPath, String livePath, PrintStream complaints) {
         Logs.install();
         try {
             if (configPath == null) {
@@ -27,12 +30,13 @@
             }
             Config config = Config.read(configPath);
             Table table = routesPath == null ? null : Routing.read(routesPath, config);
+            Sessions sessions = livePath == null ? null : Sessions.read(livePath, config);
             MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
             Rehearsal.play(config);
             Bootstrap bootstrap = Serve.bootstrap(thread);
             Serve serve = thread.submit(() -> new Serve(thread, config,
-                    (handler, to) -> bootstrap.clone().handler(handler).connect(to))).get();
+                    (handler, to) -> bootstrap.clone().handler(handler).connect(to), sessions)).get();
             Routing routing = table == null ? null : new Routing(routesPath, config, serve, thread, table);
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
--- a/src/main/java/gladewing/serve/Rehearsal.java
+++ b/src/main/java/gladewing/serve/Rehearsal.java
@@ -50,7 +50,7 @@
 
     private int play() {
         Time until = Loop.clock().plus(MOST);
-        Serve serve = new Serve(base.eventLoop(), config, this::connect);
+        Serve serve = new Serve(base.eventLoop(), config, this::connect, null);
         int cells = config.settings().shards().cells();
         serve.list(Listing.read(Json.fields("list", list(Math.min(cells, CELLS)).getBytes(StandardCharsets.UTF_8)),
                 cells));
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -22,6 +22,7 @@
 import gladewing.router.Settings;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.sessions.Live;
 import gladewing.routes.Table;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -33,7 +34,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.logging.Logger;
 
 /** One real router: wires clients, data nodes and discovery to the decisions, all on one thread. */
@@ -51,18 +54,21 @@
     private final Nodes nodes;
     private final Watch watch;
     private final Ending ending;
+    /** Null where no sessions are kept. */
+    private final Live live;
     private Config config;
     /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
     private final long unixOffset;
 
-    /** The dial is for connections to data nodes. */
-    Serve(EventLoop thread, Config config, Dial dial) {
+    /** The dial is for connections to data nodes; long-lived sessions are kept where there are settings for them. */
+    Serve(EventLoop thread, Config config, Dial dial, Sessions sessions) {
         this.thread = thread;
         this.config = config;
         loop = new Loop(thread);
         unixOffset = System.currentTimeMillis() * 1000 - Loop.clock().micros();
         decisions = new Decisions(config.settings(), config.seed(), Loop.clock());
-        int shared = Math.max(2, config.sockets() - RESERVED);
+        int shared = Math.max(2, config.sockets() - RESERVED
+                - (sessions == null ? 0 : sessions.settings.descriptors()));
         Config.Connections told = config.connections();
         nodes = new Nodes(loop, dial, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
                 told.connectTimeOut(), told.idle(), shared / 4, config.settings().allowed().withdrawals(),
@@ -76,9 +82,19 @@
             longest = Span.longest(longest, product.limit());
         }
         ending = new Ending(loop, clients, longest);
+        live = sessions == null ? null : new Live(loop, dial, decisions, sessions.settings, config);
+        if (live != null) {
+            clients.upgradeBy(live);
+            ending.sessions(live::end);
+        }
         loop.start(this);
     }
 
+    /** How many descriptors there are for all connections, of clients and of nodes. */
+    static int descriptors(Config config) {
+        return config.sockets() - RESERVED;
+    }
+
     static Bootstrap bootstrap(EventLoop thread) {
         return new Bootstrap().group(thread).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
@@ -200,6 +216,26 @@
             lines.add(new NodeTable.Line<>(t.uid(), t.cell(), started, state));
         }
         carryOut(decisions.report(listing.all(), lines));
+        if (live != null) {
+            tellSessions(listing, lines);
+        }
+    }
+
+    private void tellSessions(Listing listing, List<NodeTable.Line<String>> lines) {
+        Set<String> named = new HashSet<>();
+        for (int i = 0; i < lines.size(); i++) {
+            NodeTable.Line<String> line = lines.get(i);
+            if (line.state() == NodeTable.State.GONE) {
+                live.gone(line.id());
+            } else {
+                named.add(line.id());
+                live.listed(line.id(), listing.targets().get(i).endpoint(), line.startedAt(),
+                        line.state() == NodeTable.State.DRAINING);
+            }
+        }
+        if (listing.all()) {
+            live.only(named);
+        }
     }
 
     private void carryOut(Orders orders) {
