--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -78,7 +78,7 @@
 
     /** Null where the request asks for no upgrade, or there are none. */
     Upgraded upgrade(ClientConnection connection, Channel channel, MessageReader request) {
-        Upgraded taken = upgrades == null || !ready || closing ? null : upgrades.upgrade(channel, request);
+        Upgraded taken = upgrades == null ? null : upgrades.upgrade(channel, request);
         if (taken != null) {
             connections.remove(connection);
             upgraded.add(connection);
--- a/src/main/java/gladewing/live/LivePlan.java
+++ b/src/main/java/gladewing/live/LivePlan.java
@@ -1,6 +1,7 @@
 package gladewing.live;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,6 +56,8 @@
     private final Set<Session> wanting = new LinkedHashSet<>();
     private final Map<Integer, Integer> byTenant = new LinkedHashMap<>();
     private int legs;
+    /** What found no place in this tick: others that want the same find none either, as nodes only fill up in it. */
+    private final Set<List<Object>> noPlace = new HashSet<>();
     private long numbers;
     /** The time of the call that is being decided. */
     private long clock;
@@ -360,6 +363,7 @@
                 .thenComparingLong(s -> s.number));
         Set<String> likelyNext = likelyNext(now);
         Set<String> full = full(now);
+        noPlace.clear();
         for (Session session : order) {
             if (session.state == Session.State.WAITING && (now - session.askedAt >= settings.opening()
                     || session.failures >= settings.attempts())) {
@@ -456,8 +460,13 @@
             wanting.remove(session);
             return;
         }
+        boolean choosy = choosy(session, now);
+        List<Object> wish = List.of(session.product, choosy, Arrays.stream(shards).boxed().toList());
+        if (noPlace.contains(wish)) {
+            return;
+        }
         Set<String> avoided = new HashSet<>(full);
-        if (choosy(session, now)) {
+        if (choosy) {
             avoided.addAll(likelyNext);
         }
         String[] placed = picker.place(session.product, avoided, shards);
@@ -467,6 +476,9 @@
                 byNode.computeIfAbsent(placed[i], id -> new ArrayList<>()).add(lacking.get(i));
             }
         }
+        if (byNode.isEmpty()) {
+            noPlace.add(wish);
+        }
         if (legs + byNode.size() > settings.legs()) {
             return;
         }
--- a/src/main/java/gladewing/sessions/ClientSide.java
+++ b/src/main/java/gladewing/sessions/ClientSide.java
@@ -132,7 +132,9 @@
             long number = fields.whole("n");
             String data = fields.text("data");
             Leg way = session.way(place);
-            switch (flow.fromClient(place, number, data, way != null)) {
+            // A node that does not take what was sent is as none: its client's messages are held, in bounded room.
+            boolean takes = way != null && live.node(way).takes();
+            switch (flow.fromClient(place, number, data, takes)) {
                 case SEND -> live.node(way).message(place, number, data);
                 case FULL -> finish(Close.TRY_LATER, "no room to hold more");
                 case OUT_OF_ORDER -> finish(Close.POLICY, "a number that does not follow");
@@ -150,10 +152,6 @@
         }
     }
 
-    boolean takes() {
-        return channel.isWritable();
-    }
-
     /** A client that does not read is waited for: its nodes are not read either. */
     @Override
     public void writable(boolean now) {
--- a/src/main/java/gladewing/sessions/NodeSide.java
+++ b/src/main/java/gladewing/sessions/NodeSide.java
@@ -38,6 +38,7 @@
     private State state = State.OPENING;
     private boolean carrying;
     private boolean closeCame;
+    private boolean paused;
     private long until;
     private long heardAt;
     private long pingedAt;
@@ -184,12 +185,33 @@
             int shard = client.shard(place);
             write(Wire.text(Wire.resume(shard, client.flow.toClient(place), client.flow.sent(place)),
                     Wire.key(live.random)));
-            for (Flow.Message held : client.flow.release(place)) {
-                message(place, held.number(), held.text());
+        }
+        release();
+    }
+
+    private void release() {
+        for (int i = 0; i < leg.shards(); i++) {
+            for (Flow.Message held : client.flow.release(leg.place(i))) {
+                message(leg.place(i), held.number(), held.text());
             }
         }
     }
 
+    /** What was sent has left this program. */
+    boolean takes() {
+        return channel.isWritable();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        // In a pass of its own: it may change in the middle of what is written now.
+        live.loop.later(() -> {
+            if (state == State.UP && carrying && takes()) {
+                release();
+            }
+        });
+    }
+
     void message(int place, long number, String data) {
         write(Wire.text(Wire.message(client.shard(place), number, data), Wire.key(live.random)));
     }
@@ -199,6 +221,9 @@
     }
 
     void reading(boolean now) {
+        // While it is not read it can't be heard; what it says later counts from then.
+        paused = !now;
+        heardAt = live.now();
         channel.config().setAutoRead(now);
     }
 
@@ -246,7 +271,7 @@
     void check(long now) {
         if ((state == State.OPENING || state == State.CLOSING) && now >= until) {
             over(state == State.OPENING);
-        } else if (state == State.UP && now - heardAt >= live.settings.silence()) {
+        } else if (state == State.UP && !paused && now - heardAt >= live.settings.silence()) {
             fail("nothing was heard");
         } else if (state == State.UP && now - heardAt >= live.settings.silence() / 2
                 && now - pingedAt >= live.settings.silence() / 2) {
--- a/src/test/java/gladewing/serve/LiveNode.java
+++ b/src/test/java/gladewing/serve/LiveNode.java
@@ -28,6 +28,8 @@
     volatile int handshakes;
     volatile boolean acks = true;
     volatile boolean refuses;
+    /** Reads nothing any more. */
+    volatile boolean deaf;
     /** When the last frame came that was no close, on the clock of System.nanoTime. */
     volatile long lastFrame;
 
@@ -86,6 +88,9 @@
         ConnectionBuffer buffer = new ConnectionBuffer(2 * MOST);
         byte[] bytes = new byte[8192];
         for (int n = in.read(bytes); n >= 0; n = in.read(bytes)) {
+            while (deaf) {
+                sleep();
+            }
             buffer.take(Unpooled.wrappedBuffer(bytes, 0, n));
             for (MessageStream.Event event = stream.read(buffer); event != MessageStream.Event.MORE;
                     event = stream.read(buffer)) {
@@ -104,6 +109,14 @@
         told.add("cut");
     }
 
+    private static void sleep() throws IOException {
+        try {
+            Thread.sleep(20);
+        } catch (InterruptedException ended) {
+            throw new IOException(ended);
+        }
+    }
+
     private void message(Socket socket, String text) throws IOException {
         told.add(text);
         if (text.contains("\"n\":") && acks) {
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -215,6 +215,27 @@
         assertTrue(last.endsWith("ended: all is answered"), last);
     }
 
+    /** A client that sends without end to a node that does not read: bounded room, then its end; others go on. */
+    @Test
+    void whatANodeDoesNotTakeIsHeldInBoundedRoom() throws Exception {
+        startLive("held-bytes = 40000\nlongest-message = 16000\n");
+        nodes.get(0).deaf = true;
+        Tablet flood = new Tablet("/sheet/live?shards=0");
+        String much = "m".repeat(15_000);
+        for (int i = 1; i < 5_000 && flood.told.isEmpty(); i++) {
+            try {
+                flood.say(0, i, much);
+            } catch (CompletionException closed) {
+                break;
+            }
+        }
+        String told = flood.next();
+        assertTrue(told.equals("close 1013") || told.startsWith("error"), told);
+        Tablet other = new Tablet("/sheet/live?shards=1").say(1, 1, "here");
+        assertEquals("{\"shard\":1,\"ack\":1}", other.next());
+        nodes.get(0).deaf = false;
+    }
+
     /** Off, a request to upgrade gets the answer of today, and no class of the subsystem is loaded. */
     @Test
     void whatIsOffIsNotThere() throws Exception {
