--- a/benchmarks/src/main/java/gladewing/benchmarks/LiveRig.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/LiveRig.java
@@ -30,9 +30,10 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * A deploy under live sessions on loopback sockets: the built router as a process, and in this one its discovery, its
- * data nodes and its clients. Arguments: sessions, routers, messages a second in all, multigets a second.
- * Latencies are counted from when a message was due, so that a stall shows in all that it held up.
+ * A deploy under live sessions on loopback sockets: the built router as a process, and in this one its
+ * discovery, its data nodes and its clients. Arguments: sessions, routers, messages a second in all,
+ * multigets a second. Latencies are counted from when a message was due, so that a stall shows in all that it
+ * held up.
  */
 public final class LiveRig {
     private static final int STORES = 20;
@@ -109,7 +110,8 @@
 
     private Channel connect(int port, ChannelInboundHandlerAdapter handler) {
         return new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(handler)
-                .option(io.netty.channel.ChannelOption.TCP_NODELAY, true).connect("127.0.0.1", port).channel();
+                .option(io.netty.channel.ChannelOption.TCP_NODELAY, true).connect("127.0.0.1",
+                        port).channel();
     }
 
     private LiveStore store(int number, boolean cold) throws InterruptedException {
@@ -139,7 +141,8 @@
         while (open() + refusals + abrupt < sessions && System.nanoTime() - from < 120_000_000_000L) {
             Thread.sleep(100);
         }
-        System.out.println("opened: " + open() + " of " + sessions + " in " + seconds(from) + " s, refused " + refusals
+        System.out.println("opened: " + open() + " of " + sessions + " in " + seconds(from) + " s, refused "
+                + refusals
                 + ", " + memory());
         Thread.sleep(3000);
         System.out.println("idle sessions: " + memory());
@@ -159,7 +162,8 @@
         }
         int before = closes;
         for (Process router : routers) {
-            System.out.println("a router ended with " + (router.waitFor(15, TimeUnit.SECONDS) ? router.exitValue()
+            System.out.println("a router ended with " + (router.waitFor(15, TimeUnit.SECONDS)
+                    ? router.exitValue()
                     : "nothing in 15 s"));
         }
         Thread.sleep(300);
@@ -192,7 +196,8 @@
         while (legsAtOld(old) > 0 && System.nanoTime() - all19 < 30_000_000_000L) {
             Thread.sleep(50);
         }
-        System.out.println("deploy: " + REPLACED + " of " + STORES + " told within " + (all19 - from) / 1_000_000_000L
+        System.out.println("deploy: " + REPLACED + " of " + STORES + " told within "
+                + (all19 - from) / 1_000_000_000L
                 + " s, none left at the old ones after " + seconds(from) + " s");
         Thread.sleep(8000);
         int peak = 0;
@@ -204,11 +209,14 @@
             late += store.lateFrames;
         }
         System.out.println("legs opened in it " + (handshakes(all) - handshakes) + ", sessions open " + open()
-                + ", closed in order " + closes + ", abrupt " + abrupt + ", lost notices " + lost + ", out of order "
-                + disordered + ", frames after the grace " + late + ", most handshakes a second at a fresh store " + peak
+                + ", closed in order " + closes + ", abrupt " + abrupt + ", lost notices " + lost
+                        + ", out of order "
+                + disordered + ", frames after the grace " + late
+                        + ", most handshakes a second at a fresh store " + peak
                 + ", in its first 2 s " + cold);
         tell("deploy", deploying);
-        System.out.println("multigets: " + asked + " asked, " + whole + " whole, " + notWhole + " not; ms at 50, 99, 99.9%: "
+        System.out.println("multigets: " + asked + " asked, " + whole + " whole, " + notWhole
+                + " not; ms at 50, 99, 99.9%: "
                 + percentiles(answers));
         System.out.println("after: " + memory());
     }
@@ -234,12 +242,14 @@
     }
 
     private static String percentiles(Histogram of) {
-        return String.format("%.1f %.1f %.1f", of.getValueAtPercentile(50) / 1000.0, of.getValueAtPercentile(99) / 1000.0,
+        return String.format("%.1f %.1f %.1f", of.getValueAtPercentile(50) / 1000.0,
+                of.getValueAtPercentile(99) / 1000.0,
                 of.getValueAtPercentile(99.9) / 1000.0);
     }
 
     private void tell(String when, Histogram of) throws Exception {
-        System.out.println(when + ": " + of.getTotalCount() + " messages there and back, ms at 50, 99, 99.9%: "
+        System.out.println(when + ": " + of.getTotalCount()
+                + " messages there and back, ms at 50, 99, 99.9%: "
                 + percentiles(of));
     }
 
@@ -266,7 +276,8 @@
         Files.writeString(config, Files.readString(Path.of("examples/config.json")).replace("127.0.0.1:15000",
                 "127.0.0.1:" + port).replace("127.0.0.1:18500", "127.0.0.1:" + discoveryPort)
                 .replace("\"sockets\": 1024", "\"sockets\": " + (each * 5 + 2000))
-                .replace("\"NInstances\": 1", "\"NInstances\": " + count).replace("\"Places\": 3", "\"Places\": " + CELLS));
+                .replace("\"NInstances\": 1", "\"NInstances\": " + count).replace("\"Places\": 3",
+                        "\"Places\": " + CELLS));
         Path live = folder.resolve("live.ini");
         Files.writeString(live, "[live]\non = yes\nsessions = " + each + "\nlegs = " + each * 3 / 2
                 + "\nhandshakes = 400\nweight = 0.001\nheld-bytes-in-all = 4194304\n");
@@ -281,7 +292,8 @@
         for (int i = 0; i < 200; i++) {
             Thread.sleep(50);
             try (java.net.Socket probe = new java.net.Socket("127.0.0.1", port)) {
-                probe.getOutputStream().write("GET /health/ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                probe.getOutputStream().write("GET /health/ready "
+                        + "HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 if (new String(probe.getInputStream().readNBytes(12)).endsWith("200")) {
                     return;
                 }
@@ -302,7 +314,8 @@
                 nextMessage += 1_000_000_000L / messagesPerSecond;
             }
         }
-        for (; nextMultiget <= now && multigetsPerSecond > 0; nextMultiget += 1_000_000_000L / multigetsPerSecond) {
+        for (; nextMultiget <= now
+                && multigetsPerSecond > 0; nextMultiget += 1_000_000_000L / multigetsPerSecond) {
             desks.get(asked % desks.size()).ask(nextMultiget);
         }
         waiting.removeIf(w -> {
@@ -325,8 +338,10 @@
     /** The whole list whenever there is news: simple, and allowed. */
     private void answer(Channel channel, int after) {
         String body = "{\"rev\":" + revision + ",\"all\":" + (after < revision) + ",\"targets\":["
-                + (after < revision ? String.join(",", stores.stream().map(LiveStore::target).toList()) : "") + "]}";
-        channel.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + (after < revision ? String.join(",", stores.stream().map(LiveStore::target).toList()) : "")
+                        + "]}";
+        channel.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
+                + "\r\n\r\n"
                 + body, StandardCharsets.US_ASCII));
     }
 
@@ -389,12 +404,14 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             byte[] nonce = new byte[16];
-            context.writeAndFlush(Unpooled.copiedBuffer(Handshake.request("/sheet/live?shards=" + shard, "rig", nonce,
+            context.writeAndFlush(Unpooled.copiedBuffer(Handshake.request("/sheet/live?shards=" + shard,
+                    "rig", nonce,
                     null, ""), StandardCharsets.US_ASCII));
         }
 
         void say(long due) {
-            channel.writeAndFlush(Unpooled.wrappedBuffer(Frames.text("{\"shard\":" + shard + ",\"n\":" + ++said
+            channel.writeAndFlush(Unpooled.wrappedBuffer(Frames.text("{\"shard\":" + shard + ",\"n\":"
+                    + ++said
                     + ",\"data\":\"" + due + "\"}", new byte[] {1, 2, 3, 4})));
         }
 
@@ -411,12 +428,14 @@
                 ended = !open;
                 refusals += open ? 0 : 1;
             }
-            for (MessageStream.Event e = stream.read(in); e != MessageStream.Event.MORE; e = stream.read(in)) {
+            for (MessageStream.Event e = stream.read(in); e != MessageStream.Event.MORE; e =
+                    stream.read(in)) {
                 if (e == MessageStream.Event.CLOSE) {
                     closes++;
                     open = false;
                     ended = true;
-                    channel.writeAndFlush(Unpooled.wrappedBuffer(Frames.close(stream.code(), "", new byte[4])));
+                    channel.writeAndFlush(Unpooled.wrappedBuffer(Frames.close(stream.code(), "",
+                            new byte[4])));
                     return;
                 }
                 if (e == MessageStream.Event.PING) {
@@ -476,7 +495,8 @@
             }
             askedAt = due.poll();
             int first = asked % 12;
-            String body = "{\"shards\":[{\"shard\":" + first + ",\"weight\":0.5},{\"shard\":" + (first + 5) % 12
+            String body = "{\"shards\":[{\"shard\":" + first + ",\"weight\":0.5},{\"shard\":"
+                    + (first + 5) % 12
                     + ",\"weight\":0.5}],\"q\":\"rig\"}";
             channel.writeAndFlush(Unpooled.copiedBuffer("POST /sheet HTTP/1.1\r\nX-Request-ID: r" + asked++
                     + "\r\nX-Timeout-Ms: 5000\r\nContent-Length: " + body.length() + "\r\n\r\n" + body,
@@ -488,7 +508,8 @@
             in.take((ByteBuf) read);
             ((ByteBuf) read).release();
             while (head.read(in) == MessageReader.Progress.MESSAGE) {
-                boolean good = new String(head.body(), StandardCharsets.UTF_8).startsWith("{\"complete\":true");
+                boolean good = new String(head.body(),
+                        StandardCharsets.UTF_8).startsWith("{\"complete\":true");
                 whole += good ? 1 : 0;
                 notWhole += good ? 0 : 1;
                 answers.recordValue(Math.min(59_000_000L, (System.nanoTime() - askedAt) / 1000));
--- a/benchmarks/src/main/java/gladewing/benchmarks/LiveStore.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/LiveStore.java
@@ -15,7 +15,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** A data node of the rig: answers multigets' parts at once, and keeps live legs, whose messages it acks and echoes. */
+/**
+ * A data node of the rig: answers multigets' parts at once, and keeps live legs, whose messages it acks and
+ * echoes.
+ */
 final class LiveStore {
     final String id;
     final int cell;
@@ -40,8 +43,10 @@
     }
 
     String target() {
-        return "{\"uid\":\"" + id + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":"
-                + cell + ",\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":" + startedMillis + "}";
+        return "{\"uid\":\"" + id + "\",\"endpoint\":\"127.0.0.1:" + port
+                + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":"
+                + cell + ",\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":" + startedMillis
+                        + "}";
     }
 
     private void shookHands() {
@@ -94,9 +99,11 @@
         }
 
         private void messages(Channel channel) {
-            for (MessageStream.Event e = stream.read(in); e != MessageStream.Event.MORE; e = stream.read(in)) {
+            for (MessageStream.Event e = stream.read(in); e != MessageStream.Event.MORE; e =
+                    stream.read(in)) {
                 if (e == MessageStream.Event.CLOSE || e == MessageStream.Event.VIOLATION) {
-                    channel.writeAndFlush(Unpooled.wrappedBuffer(gladewing.websocket.Frames.close(stream.code(), "", null)))
+                    channel.writeAndFlush(Unpooled.wrappedBuffer(
+                            gladewing.websocket.Frames.close(stream.code(), "", null)))
                             .addListener(done -> channel.close());
                     return;
                 }
@@ -109,7 +116,10 @@
             }
         }
 
-        /** A message of a client is acked and sent back, numbered by this node; after a resume the numbers go on. */
+        /**
+         * A message of a client is acked and sent back, numbered by this node; after a resume the numbers go
+         * on.
+         */
         private void message(Channel channel, String text) {
             int shard = (int) number(text, "\"shard\":");
             long resume = number(text, "\"resume\":");
@@ -119,9 +129,11 @@
             }
             long n = said.merge(shard, 1L, Long::sum);
             String data = text.substring(text.indexOf("\"data\":"), text.length());
-            channel.write(Unpooled.wrappedBuffer(gladewing.websocket.Frames.text("{\"shard\":" + shard + ",\"ack\":"
+            channel.write(Unpooled.wrappedBuffer(gladewing.websocket.Frames.text("{\"shard\":" + shard
+                    + ",\"ack\":"
                     + number(text, "\"n\":") + "}", null)));
-            channel.write(Unpooled.wrappedBuffer(gladewing.websocket.Frames.text("{\"shard\":" + shard + ",\"n\":" + n
+            channel.write(Unpooled.wrappedBuffer(gladewing.websocket.Frames.text("{\"shard\":" + shard
+                    + ",\"n\":" + n
                     + "," + data, null)));
         }
 
@@ -143,7 +155,8 @@
 
         private void frame(Channel channel, char letter, String rest) {
             ByteBuf out = channel.alloc().buffer(rest.length() + 5);
-            out.writeIntLE(rest.length() + 1).writeByte(letter).writeCharSequence(rest, StandardCharsets.US_ASCII);
+            out.writeIntLE(rest.length() + 1).writeByte(letter).writeCharSequence(rest,
+                    StandardCharsets.US_ASCII);
             channel.write(out);
         }
 
--- a/src/main/java/gladewing/live/Flow.java
+++ b/src/main/java/gladewing/live/Flow.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * The messages of one session: their numbers, and what is held while a shard has no way. Nothing is sent twice; what may
- * have been lost is told by numbers, so that both ends can go on from there.
+ * The messages of one session: their numbers, and what is held while a shard has no way. Nothing is sent
+ * twice; what may have been lost is told by numbers, so that both ends can go on from there.
  */
 public final class Flow {
     public enum Taken { SEND, HELD, FULL, OUT_OF_ORDER }
@@ -57,7 +57,9 @@
         }
     }
 
-    /** A client's message to a shard, which now has a way or not; the numbers of a shard go up by one from 1. */
+    /**
+     * A client's message to a shard, which now has a way or not; the numbers of a shard go up by one from 1.
+     */
     public Taken fromClient(int place, long number, String text, boolean hasWay) {
         Way way = ways[place];
         if (number != way.fromClient + 1) {
--- a/src/main/java/gladewing/live/LivePlan.java
+++ b/src/main/java/gladewing/live/LivePlan.java
@@ -56,7 +56,10 @@
     private final Set<Session> wanting = new LinkedHashSet<>();
     private final Map<Integer, Integer> byTenant = new LinkedHashMap<>();
     private int legs;
-    /** What found no place in this tick: others that want the same find none either, as nodes only fill up in it. */
+    /**
+     * What found no place in this tick: others that want the same find none either, as nodes only fill up in
+     * it.
+     */
     private final Set<List<Object>> noPlace = new HashSet<>();
     private long numbers;
     /** The time of the call that is being decided. */
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -746,7 +746,8 @@
     private void cover(List<Part> unsent, boolean lastResort, boolean copies, Set<Integer> avoided) {
         List<Node> widest = new ArrayList<>();
         List<Node> candidates = fleet.holders(unsent);
-        candidates.removeIf(n -> avoided.contains(n.index) || !ready(n) || !lastResort && !fit(n) || copies && !knownLight(n, OVERFULL));
+        candidates.removeIf(n -> avoided.contains(n.index) || !ready(n) || !lastResort && !fit(n) || copies
+                && !knownLight(n, OVERFULL));
         candidates.forEach(n -> n.covers = 0);
         unsent.forEach(p -> count(p, 1));
         while (!unsent.isEmpty()) {
@@ -769,7 +770,8 @@
             }
             Node pick = widest.get(random.nextInt(widest.size()));
             int room = room(pick, unsent.get(0).of.product);
-            Pick kept = lastResort || copies ? null : new Pick(pick, unsent.get(0).of.ref >= 0 && stale(pick));
+            Pick kept = lastResort || copies ? null : new Pick(pick, unsent.get(0).of.ref >= 0
+                    && stale(pick));
             if (kept != null && unsent.get(0).of.picks.add(kept) && kept.asked) {
                 probe(pick);
             }
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -19,8 +19,8 @@
     private Program() { }
 
     /**
-     * Serves until it is told to end; the result is the process's exit code. The paths of routes and of sessions are
-     * null where there are none.
+     * Serves until it is told to end; the result is the process's exit code. The paths of routes and of
+     * sessions are null where there are none.
      */
     public static int run(String configPath, String routesPath, String livePath, PrintStream complaints) {
         Logs.install();
--- a/src/main/java/gladewing/serve/Rehearsal.java
+++ b/src/main/java/gladewing/serve/Rehearsal.java
@@ -52,7 +52,8 @@
         Time until = Loop.clock().plus(MOST);
         Serve serve = new Serve(base.eventLoop(), config, this::connect, null);
         int cells = config.settings().shards().cells();
-        serve.list(Listing.read(Json.fields("list", list(Math.min(cells, CELLS)).getBytes(StandardCharsets.UTF_8)),
+        serve.list(Listing.read(Json.fields("list", list(Math.min(cells,
+                CELLS)).getBytes(StandardCharsets.UTF_8)),
                 cells));
         for (int i = 0; i < CLIENTS; i++) {
             clients.add(new EmbeddedChannel(serve.client()));
@@ -86,7 +87,8 @@
         StringBuilder targets = new StringBuilder();
         for (int cell = 0; cell < cells; cell++) {
             targets.append(cell == 0 ? "" : ",").append("{\"uid\":\"rehearsal-").append(cell)
-                    .append("\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"\",\"model\":\"\",\"pod_group\":").append(cell)
+                    .append("\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"\",\"model\":\"\","
+                            + "\"pod_group\":").append(cell)
                     .append(",\"state\":\"up\",\"capacity_hint\":1.0,\"boot_ms\":0}");
         }
         return "{\"rev\":1,\"all\":true,\"targets\":[" + targets + "]}";
@@ -98,7 +100,8 @@
         int parts = Math.min(PARTS, config.shards());
         StringBuilder body = new StringBuilder("{\"shards\":[");
         for (int i = 0; i < parts; i++) {
-            body.append(i == 0 ? "" : ",").append("{\"shard\":").append((asked + i) % Math.min(CELLS / 2, config.shards()))
+            body.append(i == 0 ? "" : ",").append("{\"shard\":").append((asked + i) % Math.min(CELLS / 2,
+                    config.shards()))
                     .append(",\"weight\":").append(1.0 / parts).append('}');
         }
         body.append("],\"q\":\"rehearsal\"}");
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -60,7 +60,10 @@
     /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
     private final long unixOffset;
 
-    /** The dial is for connections to data nodes; long-lived sessions are kept where there are settings for them. */
+    /**
+     * The dial is for connections to data nodes; long-lived sessions are kept where there are settings for
+     * them.
+     */
     Serve(EventLoop thread, Config config, Dial dial, Sessions sessions) {
         this.thread = thread;
         this.config = config;
--- a/src/main/java/gladewing/serve/Sessions.java
+++ b/src/main/java/gladewing/serve/Sessions.java
@@ -8,8 +8,8 @@
 import gladewing.settings.IniFile;
 
 /**
- * The settings of long-lived sessions, held against the site's. A class of its own, so that none of the sessions' is
- * loaded where there are none.
+ * The settings of long-lived sessions, held against the site's. A class of its own, so that none of the
+ * sessions' is loaded where there are none.
  */
 final class Sessions {
     final LiveSettings settings;
--- a/src/main/java/gladewing/sessions/ClientSide.java
+++ b/src/main/java/gladewing/sessions/ClientSide.java
@@ -84,8 +84,10 @@
         state = State.OVER;
         String reason = status == 426 ? "Upgrade Required" : status == 503 ? "Service Unavailable"
                 : status == 405 ? "Method Not Allowed" : "Bad Request";
-        channel.write(Unpooled.copiedBuffer("HTTP/1.1 " + status + ' ' + reason + "\r\nContent-Length: 0\r\n" + headers
-                + "Connection: close\r\n\r\n", StandardCharsets.US_ASCII)).addListener(ChannelFutureListener.CLOSE);
+        channel.write(Unpooled.copiedBuffer("HTTP/1.1 " + status + ' ' + reason + "\r\nContent-Length: 0\r\n"
+                + headers
+                + "Connection: close\r\n\r\n",
+                        StandardCharsets.US_ASCII)).addListener(ChannelFutureListener.CLOSE);
         live.loop.flushLater(channel);
     }
 
@@ -132,7 +134,8 @@
             long number = fields.whole("n");
             String data = fields.text("data");
             Leg way = session.way(place);
-            // A node that does not take what was sent is as none: its client's messages are held, in bounded room.
+            // A node that does not take what was sent is as none: its client's messages are held, in bounded
+            // room.
             boolean takes = way != null && live.node(way).takes();
             switch (flow.fromClient(place, number, data, takes)) {
                 case SEND -> live.node(way).message(place, number, data);
--- a/src/main/java/gladewing/sessions/Live.java
+++ b/src/main/java/gladewing/sessions/Live.java
@@ -22,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -32,12 +33,15 @@
 /** Long-lived sessions on sockets: carries out the plan, and tells it what happens. It decides nothing. */
 public final class Live implements Upgrades, Doing, Picker {
     private static final Span TICK = Span.ofMillis(10);
+    /** Ticks from one look at everyone's patience to the next: with thousands it costs more than the plan. */
+    private static final int CHECK = 10;
 
     final Loop loop;
     final LiveSettings settings;
     final LivePlan plan;
     final Flow.Held held;
     final SecureRandom random = new SecureRandom();
+    private int ticks;
     private final Decisions decisions;
     private final Dial dial;
     private final List<String> products;
@@ -67,10 +71,16 @@
     private void tick() {
         long now = now();
         plan.tick(now);
+        if (++ticks % CHECK == 0) {
+            check(now);
+        }
+        loop.after(TICK, this::tick);
+    }
+
+    private void check(long now) {
         new ArrayList<>(clients.values()).forEach(client -> client.check(now));
         new ArrayList<>(closing).forEach(client -> client.check(now));
         new ArrayList<>(legs.values()).forEach(leg -> leg.check(now));
-        loop.after(TICK, this::tick);
     }
 
     long now() {
@@ -121,7 +131,8 @@
         }
         int tenant = tenant(request.header("x-tenant-id"));
         client.begin(target.shards);
-        Session session = plan.ask(target.product, tenant, rows.get(target.product).revenue(), target.shards, now());
+        Session session = plan.ask(target.product, tenant, rows.get(target.product).revenue(), target.shards,
+                now());
         if (session.ended()) {
             client.refuse(refusedWait);
         } else {
@@ -142,11 +153,12 @@
     private Target target(MessageReader request) {
         String path = request.startLine().split(" ")[1];
         String[] parts = path.split("/live\\?shards=", 2);
-        int product = parts.length < 2 || !parts[0].startsWith("/") ? -1 : products.indexOf(parts[0].substring(1));
+        int product = parts.length < 2 || !parts[0].startsWith("/") ? -1
+                : products.indexOf(parts[0].substring(1));
         if (product < 0 || !parts[1].matches("[0-9]{1,6}(,[0-9]{1,6}){0,255}")) {
             return null;
         }
-        int[] wanted = java.util.Arrays.stream(parts[1].split(",")).mapToInt(Integer::parseInt).distinct().toArray();
+        int[] wanted = Arrays.stream(parts[1].split(",")).mapToInt(Integer::parseInt).distinct().toArray();
         for (int shard : wanted) {
             if (shard >= shards) {
                 return null;
--- a/src/main/java/gladewing/sessions/NodeSide.java
+++ b/src/main/java/gladewing/sessions/NodeSide.java
@@ -48,7 +48,8 @@
         this.leg = leg;
         this.client = client;
         stream = new MessageStream(false, live.settings.longestMessage());
-        in = new ConnectionBuffer(MessageReader.MOST_HEAD + MessageStream.buffer(live.settings.longestMessage()) * 2
+        in = new ConnectionBuffer(MessageReader.MOST_HEAD
+                + MessageStream.buffer(live.settings.longestMessage()) * 2
                 + 65_536);
         live.random.nextBytes(nonce);
         until = live.now() + live.settings.opening();
--- a/src/main/java/gladewing/sessions/Wire.java
+++ b/src/main/java/gladewing/sessions/Wire.java
@@ -1,10 +1,10 @@
 package gladewing.sessions;
 
 import gladewing.json.Json;
+import gladewing.loop.Loop;
 import gladewing.websocket.Frames;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import gladewing.loop.Loop;
 import java.security.SecureRandom;
 
 /** The envelope of docs/live.md, and how frames get on a channel. */
--- a/src/main/java/gladewing/websocket/Handshake.java
+++ b/src/main/java/gladewing/websocket/Handshake.java
@@ -89,7 +89,8 @@
         return response.startLine().startsWith("HTTP/1.1 101 ") && upgrade != null
                 && lists(upgrade, "websocket")
                 && connection != null && lists(connection, "upgrade")
-                && accept(Base64.getEncoder().encodeToString(nonce)).equals(response.header("sec-websocket-accept"))
+                && accept(Base64.getEncoder().encodeToString(nonce))
+                        .equals(response.header("sec-websocket-accept"))
                 && response.header("sec-websocket-extensions") == null
                 && (agreed == null ? subprotocol == null : agreed.equals(subprotocol));
     }
--- a/src/test/java/gladewing/cli/CommandsTest.java
+++ b/src/test/java/gladewing/cli/CommandsTest.java
@@ -35,15 +35,20 @@
 
     @Test
     void checkExplainReplayAndEval() throws IOException {
-        write("good.ini", "[conditions]\ncorfu = request.headers['x-clinic'] == 'corfu'\n[limit desks]\nrate = 1\n"
-                + "burst = 1\n[route corfu-reports]\nwhen = request.product == 'report' && corfu\nproduct = 'sheet'\n"
-                + "[route desks]\nwhen = request.product == 'sheet'\nkey = request.headers['x-desk']\nlimit = desks\n");
-        write("other.ini", "[route corfu-reports]\nwhen = request.headers['x-clinic'] == 'corfu'\nproduct = sheet\n");
+        write("good.ini", "[conditions]\ncorfu = request.headers['x-clinic'] == 'corfu'\n[limit "
+                + "desks]\nrate = 1\n"
+                + "burst = 1\n[route corfu-reports]\nwhen = request.product == 'report' && "
+                + "corfu\nproduct = 'sheet'\n"
+                + "[route desks]\nwhen = request.product == 'sheet'\nkey = "
+                + "request.headers['x-desk']\nlimit = desks\n");
+        write("other.ini", "[route corfu-reports]\nwhen = request.headers['x-clinic'] == "
+                + "'corfu'\nproduct = sheet\n");
         write("bad.ini", "[route a]\nwhen = request.product == 'reprot'\nproduct = shet\nlimit = l\n");
         write("config.json", Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:1")
                 .replace("DISCOVERY", "127.0.0.1:2").replace("\"KNOWN\"",
                         "{\"rev\":0,\"all\":true,\"targets\":[]}"));
-        write("one.json", "{\"path\":\"/report/today\",\"headers\":{\"X-Clinic\":\"corfu\"},\"time_left_ms\":900,"
+        write("one.json", "{\"path\":\"/report/today\",\"headers\":{\"X-Clinic\":\"corfu\"},"
+                + "\"time_left_ms\":900,"
                 + "\"parts\":[{\"shard\":3,\"weight\":1,\"cost\":9000}]}");
         write("odd.json", "{\"produkt\":\"report\"}");
         String sheet = "{\"product\":\"sheet\",\"headers\":{\"x-desk\":\"1\"},\"at_ms\":";
--- a/src/test/java/gladewing/clients/RequestReaderTest.java
+++ b/src/test/java/gladewing/clients/RequestReaderTest.java
@@ -14,11 +14,13 @@
 class RequestReaderTest {
     @Test
     void allThatARequestTells() {
-        String body = "{\"shards\":[{\"shard\":3,\"weight\":0.25,\"cost\":9000,\"key\":\"00\"},{\"shard\":1,\"weight\":0.75}],"
+        String body = "{\"shards\":[{\"shard\":3,\"weight\":0.25,\"cost\":9000,\"key\":\"00\"},"
+                + "{\"shard\":1,\"weight\":0.75}],"
                 + "\"q\":\"z\\u00e9\"}";
         RequestReader reader = new RequestReader(new Site(List.of("report", "sheet"), List.of("x", "y"), 4));
         ConnectionBuffer in = new ConnectionBuffer(1000);
-        in.take(Unpooled.copiedBuffer("POST /sheet/any?x=1 HTTP/1.1\r\nx-request-id: 9b\r\nX-Priority-Class: sheet\r\n"
+        in.take(Unpooled.copiedBuffer("POST /sheet/any?x=1 HTTP/1.1\r\nx-request-id: "
+                + "9b\r\nX-Priority-Class: sheet\r\n"
                 + "X-TIMEOUT-MS: 480\r\nX-Retried: 1\r\nX-Tenant-Id: y\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body,
                 StandardCharsets.ISO_8859_1));
--- a/src/test/java/gladewing/expr/ExpressionTest.java
+++ b/src/test/java/gladewing/expr/ExpressionTest.java
@@ -176,7 +176,8 @@
         String grown = "request.numbers.map(a, request.numbers.map(b, request.numbers.map(c, request.tags"
                 + ".map(d, d + d + d + d + d + d + d + d + d + d))))[0][0][0][0] == 'x'";
         assertTrue(refusal(grown).startsWith("may take "), refusal(grown));
-        assertTrue(refusal("request.path.matches('((a{30}){30}){30}')").startsWith("the pattern is too large"));
+        assertTrue(refusal("request.path.matches('((a{30}){30}){30}')").startsWith("the pattern is too "
+                + "large"));
         assertTrue(refusal("request.path.matches('" + "(".repeat(120) + ")".repeat(120)
                 + "')").contains("pattern"));
     }
--- a/src/test/java/gladewing/live/FlowTest.java
+++ b/src/test/java/gladewing/live/FlowTest.java
@@ -10,7 +10,10 @@
 import org.junit.jupiter.api.Test;
 
 class FlowTest {
-    /** Legs that break at any time: each message is sent once and in order, and told as lost or taken, not both. */
+    /**
+     * Legs that break at any time: each message is sent once and in order, and told as lost or taken, not
+     * both.
+     */
     @Test
     void eachMessageIsSentOnceAndAccountedForOnce() {
         for (int seed = 0; seed < 500; seed++) {
--- a/src/test/java/gladewing/live/LiveWorld.java
+++ b/src/test/java/gladewing/live/LiveWorld.java
@@ -53,7 +53,8 @@
     }
 
     static LiveSettings settings(int sessions, double handshakes, int routers) {
-        return new LiveSettings(sessions, sessions / 2, sessions, 3 * sessions, handshakes, 0.1, 1000, 10_000, 1000,
+        return new LiveSettings(sessions, sessions / 2, sessions, 3 * sessions, handshakes, 0.1, 1000,
+                10_000, 1000,
                 3_000_000,
                 5_000_000, 4_000_000, 500_000, 5_000_000, 4, 100_000, GRACE, 0.2, 10_000_000, routers);
     }
--- a/src/test/java/gladewing/routes/RoutesTest.java
+++ b/src/test/java/gladewing/routes/RoutesTest.java
@@ -162,8 +162,10 @@
     /** A route that observes counts and acts on nothing; no value is no match, and is counted. */
     @Test
     void whatObservesOnlyCounts() {
-        Table table = table("[limit few]\nrate = 1\nburst = 2\nof = each-router\n[route seen]\nmode = observe\nlimit = few\n"
-                + "when = request.headers.x == 'a'\n[route done]\nproduct = 'sheet'\nwhen = request.product == 'sheet'\n"
+        Table table = table("[limit few]\nrate = 1\nburst = 2\nof = each-router\n[route seen]\nmode = "
+                + "observe\nlimit = few\n"
+                + "when = request.headers.x == 'a'\n[route done]\nproduct = 'sheet'\nwhen = "
+                + "request.product == 'sheet'\n"
                 + "[route away]\nturn-away = 2s\nwhen = request.product == 'order'\n", SITE);
         Asked request = asked("sheet", "/sheet", "x", "a");
         for (int i = 0; i < 5; i++) {
@@ -182,7 +184,8 @@
     /** Limits that stay the same go on when the file is read anew; a changed one begins anew. */
     @Test
     void limitsOutliveAReload() {
-        String text = "[limit few]\nrate = 0.1\nburst = 2\nof = each-router\n[route all]\nwhen = true\nlimit = few\n"
+        String text = "[limit few]\nrate = 0.1\nburst = 2\nof = each-router\n[route all]\nwhen = "
+                + "true\nlimit = few\n"
                 + "key = request.headers['x-desk']\n";
         Table table = table(text, SITE);
         Asked desk = asked("sheet", "/sheet", "x-desk", "d1");
--- a/src/test/java/gladewing/serve/LiveNode.java
+++ b/src/test/java/gladewing/serve/LiveNode.java
@@ -17,7 +17,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-/** A data node's side of live sessions: tells each message that comes, acks it, and says what a test wants. */
+/**
+ * A data node's side of live sessions: tells each message that comes, acks it, and says what a test wants.
+ */
 final class LiveNode implements AutoCloseable {
     private static final int PATIENCE_S = 20;
     private static final int MOST = 65_536;
@@ -82,8 +84,10 @@
             return;
         }
         String key = head.toString().replaceAll("(?s).*Sec-WebSocket-Key: (\\S+)\r\n.*", "$1");
-        socket.getOutputStream().write(("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade"
-                + "\r\nSec-WebSocket-Accept: " + Handshake.accept(key) + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(("HTTP/1.1 101 Switching Protocols\r\nUpgrade: "
+                + "websocket\r\nConnection: Upgrade"
+                + "\r\nSec-WebSocket-Accept: " + Handshake.accept(key)
+                        + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
         MessageStream stream = new MessageStream(true, MOST);
         ConnectionBuffer buffer = new ConnectionBuffer(2 * MOST);
         byte[] bytes = new byte[8192];
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -31,7 +31,8 @@
         final WebSocket socket;
 
         Tablet(String path) {
-            socket = HTTP.newWebSocketBuilder().buildAsync(URI.create("ws://127.0.0.1:" + port + path), this).join();
+            socket = HTTP.newWebSocketBuilder().buildAsync(URI.create("ws://127.0.0.1:" + port + path),
+                    this).join();
         }
 
         @Override
@@ -53,7 +54,8 @@
         }
 
         Tablet say(int shard, int number, String data) {
-            socket.sendText("{\"shard\":" + shard + ",\"n\":" + number + ",\"data\":\"" + data + "\"}", true).join();
+            socket.sendText("{\"shard\":" + shard + ",\"n\":" + number + ",\"data\":\"" + data + "\"}",
+                    true).join();
             return this;
         }
 
@@ -93,7 +95,8 @@
             return "101";
         } catch (CompletionException refused) {
             return refused.getCause() instanceof WebSocketHandshakeException bad
-                    ? bad.getResponse().statusCode() + (bad.getResponse().headers().firstValue("Retry-After").isPresent()
+                    ? bad.getResponse().statusCode()
+                            + (bad.getResponse().headers().firstValue("Retry-After").isPresent()
                     ? " come back later" : "") : refused.getCause().toString();
         }
     }
@@ -113,7 +116,8 @@
         assertEquals(List.of("{\"shard\":0,\"ack\":1}", "{\"shard\":1,\"ack\":1}"), acks);
         first.say("{\"shard\":0,\"n\":1,\"data\":\"done\"}");
         assertEquals("{\"shard\":0,\"n\":1,\"data\":\"done\"}", tablet.next());
-        // The node drains, another of its cell is there: the client sees nothing of the move but its order kept.
+        // The node drains, another of its cell is there: the client sees nothing of the move but its order
+        // kept.
         LiveNode second = node();
         discovery.list(8, false, target("a", first.endpoint(), 0, "draining"),
                 target("c", second.endpoint(), 0, "up"));
@@ -133,7 +137,10 @@
         assertEquals("close 1001", second.next());
     }
 
-    /** No other node holds the shard: the client is parked, what it says is held, and what may be lost is told. */
+    /**
+     * No other node holds the shard: the client is parked, what it says is held, and what may be lost is
+     * told.
+     */
     @Test
     void aDeadNodeLosesLegsNotSessions() throws Exception {
         startLive("back-off = 20ms\nparked = 20s\n");
@@ -150,13 +157,16 @@
         assertEquals("{\"shard\":0,\"lost\":{\"after\":1,\"to\":2}}", tablet.next());
         tablet.say(0, 3, "three");
         LiveNode second = node();
-        discovery.list(8, false, target("a", first.endpoint(), 0, "removed"), target("c", second.endpoint(), 0, "up"));
+        discovery.list(8, false, target("a", first.endpoint(), 0, "removed"),
+                target("c", second.endpoint(), 0, "up"));
         assertEquals("{\"shard\":0,\"resume\":0,\"sent\":2}", second.next());
         assertEquals("{\"shard\":0,\"n\":3,\"data\":\"three\"}", second.next());
         assertEquals("{\"shard\":0,\"ack\":3}", tablet.next());
     }
 
-    /** Beyond a limit, or with no node for its shards, a client gets 503 with a wait, never a 101 that dies. */
+    /**
+     * Beyond a limit, or with no node for its shards, a client gets 503 with a wait, never a 101 that dies.
+     */
     @Test
     void whatCantBeKeptIsRefusedBeforeTheUpgrade() throws Exception {
         startLive("sessions-per-tenant = 3\nopening = 300ms\nattempts = 2\nback-off = 10ms\n");
@@ -174,14 +184,19 @@
         assertEquals("503 come back later", refused(() -> new Tablet("/sheet/live?shards=1")));
         assertEquals("400", refused(() -> new Tablet("/sheet/live?shards=9")));
         assertEquals("400", refused(() -> new Tablet("/nothing/live?shards=0")));
-        String ask = "GET /sheet/live?shards=0 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        String ask = "GET /sheet/live?shards=0 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
+                + "Upgrade\r\n"
                 + "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 8\r\n\r\n";
         assertEquals("426 close", new Client().send(ask).response());
         // Multigets go on beside all of it.
-        assertEquals("400 close", new Client().send("POST /sheet HTTP/1.1\r\nContent-Length: 0\r\n\r\n").response());
+        assertEquals("400 close",
+                new Client().send("POST /sheet HTTP/1.1\r\nContent-Length: 0\r\n\r\n").response());
     }
 
-    /** Clients that break the protocol end with its code; the program ends in time though one ignores its close. */
+    /**
+     * Clients that break the protocol end with its code; the program ends in time though one ignores its
+     * close.
+     */
     @Test
     void clientsThatMisbehaveEndAndDelayNobody() throws Exception {
         startLive("closing = 300ms\nsilence = 1s\n");
@@ -192,7 +207,8 @@
         Tablet binary = new Tablet("/sheet/live?shards=0");
         binary.socket.sendBinary(java.nio.ByteBuffer.allocate(3), true).join();
         assertEquals("close 1003", binary.next());
-        String ask = "GET /sheet/live?shards=0 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+        String ask = "GET /sheet/live?shards=0 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: "
+                + "Upgrade\r\n"
                 + "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
         // It answers no ping: it is told, and then it is closed though it says nothing to that either.
         Client silent = new Client().send(ask);
@@ -209,13 +225,16 @@
         assertEquals("close 1012", good.next());
         assertTrue(program.waitFor(10, TimeUnit.SECONDS));
         String last = "";
-        for (String line = log.poll(1, TimeUnit.SECONDS); line != null; line = log.poll(1, TimeUnit.SECONDS)) {
+        for (String line = log.poll(1, TimeUnit.SECONDS); line != null; line =
+                log.poll(1, TimeUnit.SECONDS)) {
             last = line;
         }
         assertTrue(last.endsWith("ended: all is answered"), last);
     }
 
-    /** A client that sends without end to a node that does not read: bounded room, then its end; others go on. */
+    /**
+     * A client that sends without end to a node that does not read: bounded room, then its end; others go on.
+     */
     @Test
     void whatANodeDoesNotTakeIsHeldInBoundedRoom() throws Exception {
         startLive("held-bytes = 40000\nlongest-message = 16000\n");
@@ -243,10 +262,13 @@
         startWithList();
         assertEquals("405", refused(() -> new Tablet("/sheet/live?shards=0")));
         stop();
-        assertEquals(List.of(), Files.readAllLines(folder.resolve("classes.txt")).stream().filter(line -> line.matches(
+        assertEquals(List.of(), Files.readAllLines(folder.resolve("classes.txt")).stream().filter(line ->
+                line.matches(
                 ".*gladewing\\.(live|sessions|websocket)\\..*")).toList());
-        Files.writeString(folder.resolve("bad.ini"), "[live]\non = maybe\nsessions = 4000\nlegs = 10\nparkd = 1s\n");
-        Process refused = run(config, folder, List.of(), List.of("--live", folder.resolve("bad.ini").toString()));
+        Files.writeString(folder.resolve("bad.ini"),
+                "[live]\non = maybe\nsessions = 4000\nlegs = 10\nparkd = 1s\n");
+        Process refused = run(config, folder, List.of(), List.of("--live",
+                folder.resolve("bad.ini").toString()));
         String said = new String(refused.getInputStream().readAllBytes()).replaceAll("(?m)^.*/bad.ini ", "");
         assertEquals(1, refused.waitFor());
         assertEquals("[live] parkd: no such key, wanted: parked\n[live] on: 'maybe', wanted: no or yes\n"
--- a/src/test/java/gladewing/serve/RoutesServeTest.java
+++ b/src/test/java/gladewing/serve/RoutesServeTest.java
@@ -155,7 +155,8 @@
         stop();
         Set<String> off = loaded();
         off.removeIf(c -> !c.matches(
-                "(gladewing\\.(expr|routes|settings|cli)\\.|org\\.ini4j|com\\.google\\.re2j|com\\.dynatrace|picocli).*|.*Gate"));
+                "(gladewing\\.(expr|routes|settings|cli)\\.|"
+                + "org\\.ini4j|com\\.google\\.re2j|com\\.dynatrace|picocli).*|.*Gate"));
         assertEquals(Set.of(), off);
         startWith(TABLE);
         assertEquals("200", served(new Client(), "report", "r1", "").substring(0, 3));
@@ -182,7 +183,8 @@
     @Test
     void theDoorTurnsDownWhatCantBeMeant() throws Exception {
         startWithList();
-        String[] bad = {"{\"shards\":[{\"shard\":0,\"weight\":0.9},{\"shard\":1,\"weight\":0.9}],\"q\":\"c\"}",
+        String[] bad = {"{\"shards\":[{\"shard\":0,\"weight\":0.9},{\"shard\":1,\"weight\":0.9}],"
+                + "\"q\":\"c\"}",
             "{\"shards\":[{\"shard\":0,\"weight\":0.999}],\"q\":\"c\"}", "{\"shards\":[],\"q\":\"c\"}",
             "{\"shards\":[{\"shard\":0,\"weight\":1,\"cost\":1e12}],\"q\":\"c\"}"};
         for (String body : bad) {
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -116,7 +116,8 @@
                 case "no line" -> toA.write('A', "no line");
                 case "length 0" -> toA.raw(new byte[] {0, 0, 0, 0});
                 case "length 3 GB" -> toA.raw(new byte[] {0, 0, 0, -64, 'A'});
-                case "noise" -> toA.raw("\u0007\u0000\u0000\u0000noise".getBytes(StandardCharsets.ISO_8859_1));
+                case "noise" -> toA.raw(
+                        "\u0007\u0000\u0000\u0000noise".getBytes(StandardCharsets.ISO_8859_1));
                 case "unknown id" -> toA.answer("r" + i + ".3", "ok", "three");
                 case "unknown end" -> toA.answer("r" + i + ".0", "oak", "zero");
                 case "no score" -> toA.write('A', "r" + i + ".0 ok x -\nzero");
@@ -151,7 +152,8 @@
             told.append(raw).append(" -> ").append(request(raw)).append('\n');
         }
         assertTrue(a.silent() && b.silent());
-        Client waits = new Client().send("POST /sheet HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        Client waits = new Client().send("POST /sheet HTTP/1.1\r\nExpect: "
+                + "100-continue\r\nContent-Length: 2\r\n\r\n");
         byte[] goOn = waits.socket.getInputStream().readNBytes("HTTP/1.1 100 Continue\r\n\r\n".length());
         assertEquals("HTTP/1.1 100 Continue\r\n\r\n", new String(goOn, StandardCharsets.ISO_8859_1));
         assertEquals("400 close", waits.send("{}").response());
