Live sessions: a budget of repeated handshakes over all sessions; ASCII is no work to check

Need: nodes that refuse must not be asked again by every session at once.

Change: handshakes that follow failed ones share `repeats` a second; texts of ASCII are checked without a decoder.

--- a/benchmarks/src/main/java/gladewing/benchmarks/LiveRig.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/LiveRig.java
@@ -292,8 +292,8 @@
         for (int i = 0; i < 200; i++) {
             Thread.sleep(50);
             try (java.net.Socket probe = new java.net.Socket("127.0.0.1", port)) {
-                probe.getOutputStream().write("GET /health/ready "
-                        + "HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                probe.getOutputStream().write(
+                        "GET /health/ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 if (new String(probe.getInputStream().readNBytes(12)).endsWith("200")) {
                     return;
                 }
--- a/src/main/java/gladewing/live/LivePlan.java
+++ b/src/main/java/gladewing/live/LivePlan.java
@@ -55,6 +55,8 @@
     /** Those that have a shard without a leg that may stay, in the order in which they came to it. */
     private final Set<Session> wanting = new LinkedHashSet<>();
     private final Map<Integer, Integer> byTenant = new LinkedHashMap<>();
+    /** Handshakes after failed ones, of all sessions together: a node that fails all must not get them all again. */
+    private final Pace repeats = new Pace();
     private int legs;
     /**
      * What found no place in this tick: others that want the same find none either, as nodes only fill up in
@@ -463,6 +465,9 @@
             wanting.remove(session);
             return;
         }
+        if (session.failures > 0 && !repeats.allows(now, settings.repeats(), 1)) {
+            return;
+        }
         boolean choosy = choosy(session, now);
         List<Object> wish = List.of(session.product, choosy, Arrays.stream(shards).boxed().toList());
         if (noPlace.contains(wish)) {
@@ -487,6 +492,9 @@
         }
         byNode.forEach((id, places) -> {
             legs++;
+            if (session.failures > 0) {
+                repeats.used(now, settings.repeats());
+            }
             Node node = nodes.get(id);
             Leg leg = new Leg(session, id, places.stream().mapToInt(p -> p).toArray());
             session.legs.add(leg);
--- a/src/main/java/gladewing/live/LiveSettings.java
+++ b/src/main/java/gladewing/live/LiveSettings.java
@@ -12,7 +12,7 @@
         int heldBytes,
         int heldBytesInAll, int longestMessage, long opening, long parked, long returning, long closing,
                 long silence,
-        int attempts, long backOff, long grace, double coldShare, long coldSpan, int routers) {
+        int attempts, double repeats, long backOff, long grace, double coldShare, long coldSpan, int routers) {
 
     public static final String SECTION = "live";
     private static final long SECOND = 1_000_000;
@@ -28,7 +28,7 @@
                 "held-bytes",
                 "held-bytes-in-all", "longest-message", "opening", "parked", "returning", "closing",
                         "silence",
-                "attempts", "back-off");
+                "attempts", "repeats", "back-off");
         boolean on = s.word("on", java.util.List.of("no", "yes")).equals("yes");
         int sessions = (int) s.whole("sessions", 5000, 1, MOST);
         LiveSettings read = new LiveSettings(sessions, (int) s.whole("sessions-per-tenant", sessions, 1,
@@ -43,7 +43,8 @@
                         s.micros("returning", 20 * SECOND, 0, 3600 * SECOND),
                 s.micros("closing", SECOND, 10_000, 60 * SECOND),
                         s.micros("silence", 30 * SECOND, 100_000, 3600 * SECOND),
-                (int) s.whole("attempts", 6, 1, 100), s.micros("back-off", 200_000, 1000, 60 * SECOND),
+                (int) s.whole("attempts", 6, 1, 100),
+                s.number("repeats", 20, 0.1, 100_000), s.micros("back-off", 200_000, 1000, 60 * SECOND),
                 site.grace, site.coldShare, site.coldSpan, site.routers);
         if (read.sessions < read.perTenant || read.sessions < read.perNode) {
             s.fault("sessions", read.sessions
--- a/src/main/java/gladewing/websocket/MessageStream.java
+++ b/src/main/java/gladewing/websocket/MessageStream.java
@@ -181,6 +181,15 @@
 
     /** Looks at what is new, so that a text that can't end well ends at its first bad byte. */
     private boolean soundText(boolean last) {
+        int plain = sound;
+        while (plain < size && message[plain] >= 0) {
+            plain++;
+        }
+        // A byte of ASCII ends every character before it, and most texts have no others.
+        sound = plain;
+        if (plain == size) {
+            return true;
+        }
         ByteBuffer in = ByteBuffer.wrap(message, sound, size - sound);
         CharBuffer out = CharBuffer.allocate(1024);
         utf8.reset();
--- a/src/test/java/gladewing/live/LiveWorld.java
+++ b/src/test/java/gladewing/live/LiveWorld.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,9 @@
     final Map<Session, String> fate = new LinkedHashMap<>();
     final List<Session> open = new ArrayList<>();
     final Map<Session, Long> parked = new HashMap<>();
+    /** Sessions whose last leg failed, and when they were given another. */
+    private final Set<Session> failed = new HashSet<>();
+    private final List<Long> repeats = new ArrayList<>();
     long now = 1_000_000;
     int moves;
     int accepted;
@@ -56,7 +60,7 @@
         return new LiveSettings(sessions, sessions / 2, sessions, 3 * sessions, handshakes, 0.1, 1000,
                 10_000, 1000,
                 3_000_000,
-                5_000_000, 4_000_000, 500_000, 5_000_000, 4, 100_000, GRACE, 0.2, 10_000_000, routers);
+                5_000_000, 4_000_000, 500_000, 5_000_000, 4, 30, 100_000, GRACE, 0.2, 10_000_000, routers);
     }
 
     Node add(int cell, boolean cold) {
@@ -89,6 +93,9 @@
     }
 
     private void end(Leg leg, boolean broken) {
+        if (broken) {
+            failed.add(leg.of);
+        }
         legs.remove(leg);
         opening.remove(leg);
         closing.remove(leg);
@@ -121,6 +128,7 @@
                 if (node == null || node.dead) {
                     end(leg, true);
                 } else {
+                    failed.remove(leg.of);
                     plan.up(leg, now);
                 }
             }
@@ -145,6 +153,11 @@
         legs.add(leg);
         opening.put(leg, now + 5_000 + random.nextInt(50_000));
         moves += leg.of.accepted() ? 1 : 0;
+        if (failed.contains(leg.of)) {
+            repeats.add(now);
+            repeats.removeIf(at -> now - at > 1_000_000);
+            must(repeats.size() <= 2 * settings.repeats() + 2, repeats.size() + " repeats in a second");
+        }
     }
 
     @Override
