One way to show a map to expressions; endpoints of nodes that are gone are let go of

Need: a table that grew with the ids of nodes, and one piece of code in four places.

Change: Entries.of; sessions forget a node's endpoint with the node.

--- a/benchmarks/src/main/java/gladewing/benchmarks/DeployModel.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/DeployModel.java
@@ -74,7 +74,8 @@
         LiveSettings settings = new LiveSettings(2 * sessions, 2 * sessions, 2 * sessions, 4 * sessions,
                 way == Way.PLAN ? WARM : 1e9, 0.001, 65_536, 1 << 20, 16_384, 3_000_000, 10_000_000,
                         1_000_000,
-                1_000_000, 30_000_000, 6, 1000, 200_000, 2_000_000, way == Way.PLAN ? COLD_SHARE : 1, COLD_SPAN, 1);
+                1_000_000, 30_000_000, 6, 1000, 200_000, 2_000_000, way == Way.PLAN ? COLD_SHARE : 1,
+                        COLD_SPAN, 1);
         plan = new LivePlan(settings, new Module(), new World(), 3);
     }
 
--- a/benchmarks/src/main/java/gladewing/benchmarks/Tables.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/Tables.java
@@ -52,7 +52,7 @@
                 "x-priority-class", product, "x-timeout-ms", "3000", "content-length", "212",
                 "content-type", "application/json", "user-agent", "desk"));
         headers.put("x-clinic", clinic);
-        asked.headers = entries(headers);
+        asked.headers = Entries.of(headers);
         List<Asked.Part> parts = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             parts.add(new Asked.Part(i, 1 / 6.0, 9000, "00112233445566" + (10 + i)));
@@ -60,18 +60,4 @@
         asked.parts = parts;
         return asked;
     }
-
-    static Entries entries(Map<String, String> headers) {
-        return new Entries() {
-            @Override
-            public String get(String key) {
-                return headers.get(key);
-            }
-
-            @Override
-            public int size() {
-                return headers.size();
-            }
-        };
-    }
 }
--- a/benchmarks/src/main/java/gladewing/benchmarks/WorstBenchmark.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/WorstBenchmark.java
@@ -1,6 +1,7 @@
 package gladewing.benchmarks;
 
 import gladewing.expr.Compiled;
+import gladewing.expr.Entries;
 import gladewing.expr.Environment;
 import gladewing.expr.Expression;
 import gladewing.expr.Type;
@@ -62,7 +63,7 @@
         headers.put("upper", "A".repeat(4000));
         headers.put("long", "a".repeat(4000) + "A".repeat(3999) + "B");
         headers.put("same", new String("a".repeat(4000)));
-        request.headers = Tables.entries(headers);
+        request.headers = Entries.of(headers);
         List<Asked.Part> parts = new ArrayList<>();
         for (int i = 0; i < 512; i++) {
             parts.add(new Asked.Part(i, 1 / 512.0, 9000, "7"));
--- a/src/main/java/gladewing/cli/Requests.java
+++ b/src/main/java/gladewing/cli/Requests.java
@@ -109,16 +109,6 @@
                 headers.putIfAbsent(((String) header).toLowerCase(Locale.ROOT), text);
             });
         }
-        return new Entries() {
-            @Override
-            public String get(String key) {
-                return headers.get(key);
-            }
-
-            @Override
-            public int size() {
-                return headers.size();
-            }
-        };
+        return Entries.of(headers);
     }
 }
--- a/src/main/java/gladewing/expr/Interpreter.java
+++ b/src/main/java/gladewing/expr/Interpreter.java
@@ -223,17 +223,7 @@
         for (int i = 0; i < pairs.length; i += 2) {
             entries.putIfAbsent((String) pairs[i], (String) pairs[i + 1]);
         }
-        return new Entries() {
-            @Override
-            public String get(String key) {
-                return entries.get(key);
-            }
-
-            @Override
-            public int size() {
-                return entries.size();
-            }
-        };
+        return Entries.of(entries);
     }
 
     private static Object call(Node node, Object a, Object b, Object[] all) {
--- a/src/main/java/gladewing/sessions/Live.java
+++ b/src/main/java/gladewing/sessions/Live.java
@@ -94,6 +94,7 @@
 
     public void gone(String node) {
         plan.gone(node, now());
+        endpoints.remove(node);
     }
 
     /** A whole list: what it does not name is gone. */
@@ -101,7 +102,6 @@
         for (String node : new ArrayList<>(endpoints.keySet())) {
             if (!nodes.contains(node)) {
                 gone(node);
-                endpoints.remove(node);
             }
         }
     }
--- a/src/test/java/gladewing/routes/RoutesTest.java
+++ b/src/test/java/gladewing/routes/RoutesTest.java
@@ -39,20 +39,6 @@
         return outcome.table();
     }
 
-    static Entries headers(Map<String, String> headers) {
-        return new Entries() {
-            @Override
-            public String get(String key) {
-                return headers.get(key);
-            }
-
-            @Override
-            public int size() {
-                return headers.size();
-            }
-        };
-    }
-
     private static Asked asked(String product, String path, String... headers) {
         Asked asked = new Asked();
         asked.product = product;
@@ -62,7 +48,7 @@
         for (int i = 0; i < headers.length; i += 2) {
             pairs.put(headers[i], headers[i + 1]);
         }
-        asked.headers = headers(pairs);
+        asked.headers = Entries.of(pairs);
         return asked;
     }
 
