Live sessions: nothing follows a drain past its grace, also before the next tick

Found by reading.

Change: the plan says of a leg whether anything may be sent now; every send on a leg asks. What may not be sent is held, as for a shard without a leg.

--- a/src/main/java/gladewing/live/LivePlan.java
+++ b/src/main/java/gladewing/live/LivePlan.java
@@ -55,7 +55,10 @@
     /** Those that have a shard without a leg that may stay, in the order in which they came to it. */
     private final Set<Session> wanting = new LinkedHashSet<>();
     private final Map<Integer, Integer> byTenant = new LinkedHashMap<>();
-    /** Handshakes after failed ones, of all sessions together: a node that fails all must not get them all again. */
+    /**
+     * Handshakes after failed ones, of all sessions together: a node that fails all must not get them all
+     * again.
+     */
     private final Pace repeats = new Pace();
     private int legs;
     /**
@@ -148,6 +151,15 @@
         }
     }
 
+    /**
+     * Whether anything may go to the leg's node now. A tick retires its legs when the grace ends, but after a
+     * standstill of this router what waited in its sockets is read before that tick.
+     */
+    public boolean maySend(Leg leg, long now) {
+        Node node = nodes.get(leg.node);
+        return node != null && (node.lastSend < 0 || now < node.lastSend);
+    }
+
     /** The leg's handshake was answered. */
     public void up(Leg leg, long now) {
         clock = now;
@@ -271,7 +283,8 @@
             forget(node);
         }
         for (Leg next : new ArrayList<>(session.legs)) {
-            if (next.after.remove(leg) && next.carries() && session.state != Session.State.ENDED) {
+            if (next.after.remove(leg) && next.carries() && session.state != Session.State.ENDED
+                    && maySend(next, now)) {
                 doing.carry(next);
             }
         }
--- a/src/main/java/gladewing/live/LiveSettings.java
+++ b/src/main/java/gladewing/live/LiveSettings.java
@@ -12,7 +12,8 @@
         int heldBytes,
         int heldBytesInAll, int longestMessage, long opening, long parked, long returning, long closing,
                 long silence,
-        int attempts, double repeats, long backOff, long grace, double coldShare, long coldSpan, int routers) {
+        int attempts, double repeats, long backOff, long grace, double coldShare, long coldSpan,
+                int routers) {
 
     public static final String SECTION = "live";
     private static final long SECOND = 1_000_000;
--- a/src/main/java/gladewing/sessions/NodeSide.java
+++ b/src/main/java/gladewing/sessions/NodeSide.java
@@ -70,6 +70,9 @@
     public void channelActive(ChannelHandlerContext context) {
         live.loop.pass();
         channel = context.channel();
+        if (!maySend()) {
+            return;
+        }
         StringBuilder shards = new StringBuilder();
         for (int i = 0; i < leg.shards(); i++) {
             shards.append(i == 0 ? "" : ",").append(client.shard(leg.place(i)));
@@ -119,13 +122,13 @@
             case TEXT -> message();
             case PING -> {
                 // After a close nothing is sent, a pong neither.
-                if (state == State.UP) {
+                if (state == State.UP && maySend()) {
                     write(Frames.pong(stream.payload(), Wire.key(live.random)));
                 }
             }
             case CLOSE -> {
                 closeCame = true;
-                if (state == State.UP) {
+                if (state == State.UP && maySend()) {
                     write(Frames.close(stream.code() == Close.NONE ? Close.NORMAL : stream.code(), "",
                             Wire.key(live.random)));
                 }
@@ -133,7 +136,7 @@
                         && stream.code() != Close.RESTART);
             }
             case VIOLATION -> {
-                if (state == State.UP) {
+                if (state == State.UP && maySend()) {
                     write(Frames.close(stream.code(), stream.reason(), Wire.key(live.random)));
                 }
                 fail(stream.reason());
@@ -198,9 +201,13 @@
         }
     }
 
-    /** What was sent has left this program. */
+    /** What was sent has left this program, and more may go there. */
     boolean takes() {
-        return channel.isWritable();
+        return channel.isWritable() && maySend();
+    }
+
+    private boolean maySend() {
+        return live.plan.maySend(leg, live.now());
     }
 
     @Override
@@ -274,7 +281,7 @@
             over(state == State.OPENING);
         } else if (state == State.UP && !paused && now - heardAt >= live.settings.silence()) {
             fail("nothing was heard");
-        } else if (state == State.UP && now - heardAt >= live.settings.silence() / 2
+        } else if (state == State.UP && maySend() && now - heardAt >= live.settings.silence() / 2
                 && now - pingedAt >= live.settings.silence() / 2) {
             pingedAt = now;
             write(Frames.ping(new byte[0], Wire.key(live.random)));
--- a/src/test/java/gladewing/live/LivePlanTest.java
+++ b/src/test/java/gladewing/live/LivePlanTest.java
@@ -136,6 +136,22 @@
         assertTrue(world.moves < 2600, "" + world.moves);
     }
 
+    /**
+     * After a standstill what waited is read before the next tick: it may not follow a drain past its grace.
+     */
+    @Test
+    void nothingIsSentAfterTheGraceEvenBeforeTheNextTick() {
+        LiveWorld world = new LiveWorld(3, LiveWorld.settings(10, 100, 1));
+        LiveWorld.Node node = world.add(0, false);
+        Session session = world.ask(0, 0);
+        world.step(10_000);
+        world.step(100_000);
+        Leg leg = session.way(0);
+        world.drain(node);
+        assertTrue(world.plan.maySend(leg, world.now + LiveWorld.GRACE / 2));
+        assertTrue(leg.carries() && !world.plan.maySend(leg, world.now + LiveWorld.GRACE));
+    }
+
     /** Sessions end one after the other until the time is over, not as a wave. */
     @Test
     void theEndIsSpreadOverTheTimeThereIs() {
