--- a/src/main/java/gladewing/Main.java
+++ b/src/main/java/gladewing/Main.java
@@ -11,23 +11,28 @@
 
     public static void main(String[] args) throws IOException {
         String command = args.length == 0 ? "" : args[0];
-        if (command.equals("benchlink") && args.length == 1) {
-            System.exit(new BenchLink(System.in, System.out, System.err).run());
-        }
         String routes = option(args, "--routes");
+        String attempts = option(args, "--attempts");
         String live = option(args, "--live");
-        int known = 1 + (routes == null ? 0 : 2) + (live == null ? 0 : 2);
+        int known = 1 + (routes == null ? 0 : 2) + (attempts == null ? 0 : 2) + (live == null ? 0 : 2);
+        if (command.equals("benchlink") && args.length == (attempts == null ? 1 : 3)
+                && args.length == known) {
+            System.exit(new BenchLink(System.in, System.out, System.err, attempts).run());
+        }
         if (command.equals("serve") && args.length == known) {
-            System.exit(Program.run(System.getenv("RELAY_CONFIG"), routes, live, System.err));
+            System.exit(Program.run(System.getenv("RELAY_CONFIG"),
+                    new Program.Files(routes, attempts, live), System.err));
         }
-        if (command.equals("routes") || command.equals("expr")) {
+        if (command.equals("routes") || command.equals("expr") || command.equals("settings")) {
             System.exit(Commands.run(args, System.out, System.err));
         }
         System.err.println("usage: java -jar gladewing.jar "
-                + "benchlink | serve [--routes FILE] [--live FILE] | routes | expr");
+                + "benchlink [--attempts FILE] | serve [--routes FILE] [--attempts FILE] [--live FILE] | routes | "
+                + "settings | expr");
         System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output\n"
                 + "  serve       be a router on sockets; RELAY_CONFIG names its configuration\n"
                 + "  routes      check, explain and replay a table of routes; routes --help\n"
+                + "  settings    check and show how parts are sent again; settings --help\n"
                 + "  expr        try an expression; expr --help");
         System.exit(2);
     }
--- a/src/main/java/gladewing/benchlink/BenchLink.java
+++ b/src/main/java/gladewing/benchlink/BenchLink.java
@@ -6,9 +6,15 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import gladewing.attempts.AttemptSite;
+import gladewing.attempts.Attempts;
+import gladewing.attempts.Patterns;
+import gladewing.config.Facts;
 import gladewing.json.Fields;
 import gladewing.json.Unusable;
+import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.settings.Faulty;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -32,9 +38,14 @@
     private final Map<String, Instance> instances = new HashMap<>();
     private final Set<Instance> inTurn = new LinkedHashSet<>();
     private final List<List<Fields>> lists = new ArrayList<>(Collections.nCopies(LISTS, null));
+    /** Null where nothing is stated of how parts are sent again. */
+    private final String attemptsPath;
+    private Attempts attempts;
     private Time now;
 
-    public BenchLink(InputStream in, OutputStream out, PrintStream complaints) throws IOException {
+    public BenchLink(InputStream in, OutputStream out, PrintStream complaints, String attemptsPath)
+            throws IOException {
+        this.attemptsPath = attemptsPath;
         JsonFactory json = new JsonFactoryBuilder().rootValueSeparator((String) null).build();
         this.in = json.createParser(in);
         this.out = json.createGenerator(out);
@@ -114,7 +125,8 @@
                 inBatch(message);
                 String name = message.text("I");
                 drop(name);
-                Instance fresh = new Instance(name, out, message.whole("Salt"), message.object("Facts"), now);
+                Fields facts = message.object("Facts");
+                Instance fresh = new Instance(name, out, message.whole("Salt"), facts, patterns(facts), now);
                 instances.put(name, fresh);
                 inTurn.add(fresh);
             }
@@ -145,6 +157,20 @@
         }
     }
 
+    /** Instances are told the same facts; each has budgets of its own. Null where there are no rows. */
+    private Patterns patterns(Fields facts) {
+        if (attemptsPath != null && attempts == null) {
+            try {
+                attempts = Attempts.read(attemptsPath, new AttemptSite(Facts.names(facts, "RequestClasses"),
+                        Facts.settings(facts), Span.ofMillis(facts.object("Permissions")
+                                .number("ConnectTimeout", 0)), null));
+            } catch (Faulty bad) {
+                throw new Unusable(bad.getMessage());
+            }
+        }
+        return attempts == null ? null : attempts.patterns();
+    }
+
     private void inBatch(Fields message) {
         if (now == null) {
             throw new Unusable(message.name() + ": outside a batch");
--- a/src/main/java/gladewing/benchlink/Instance.java
+++ b/src/main/java/gladewing/benchlink/Instance.java
@@ -1,6 +1,7 @@
 package gladewing.benchlink;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import gladewing.attempts.Patterns;
 import gladewing.config.Facts;
 import gladewing.decisions.NodeTable;
 import gladewing.json.Fields;
@@ -53,12 +54,15 @@
     private final int shards;
     private final int cells;
     private final QueryRouter router;
+    /** Null where the module goes by itself. */
+    private final Patterns patterns;
     private final Map<Long, Place> places = new HashMap<>();
     private final Map<Long, Held> byNumber = new HashMap<>();
     private final List<Held> refs = new ArrayList<>();
     private final NodeTable<Long> nodes;
 
-    Instance(String name, JsonGenerator json, long seed, Fields facts, Time now) {
+    Instance(String name, JsonGenerator json, long seed, Fields facts, Patterns patterns, Time now) {
+        this.patterns = patterns;
         this.name = name;
         this.json = json;
         Settings settings = Facts.settings(facts);
@@ -108,8 +112,11 @@
             byNumber.put(number, held);
             places.put(id, new Place(held, -1));
             int tenant = message.has("Tenant") ? message.index("Tenant", tenants) : 0;
-            held.multiget = router.take(ref, message.index("Class", products), tenant,
-                    Span.ofMillis(message.number("Remaining")), message.flag("AgainByClient"));
+            int product = message.index("Class", products);
+            Span left = Span.ofMillis(message.number("Remaining"));
+            boolean again = message.flag("AgainByClient");
+            held.multiget = patterns == null ? router.take(ref, product, tenant, left, again)
+                    : router.take(ref, product, tenant, left, again, patterns.of(product, null));
         } else {
             if (shard >= shards) {
                 throw message.wrong("Slab", "a shard of this site");
--- a/src/main/java/gladewing/cli/Commands.java
+++ b/src/main/java/gladewing/cli/Commands.java
@@ -11,7 +11,8 @@
 import picocli.CommandLine.Spec;
 
 /** The operators' command line: what is not a way of running the router. */
-@Command(name = "gladewing", subcommands = {RoutesCommand.class, ExprCommand.class, HelpCommand.class},
+@Command(name = "gladewing", subcommands = {RoutesCommand.class, SettingsCommand.class, ExprCommand.class,
+        HelpCommand.class},
         description = "Tools for the router's settings.", mixinStandardHelpOptions = true)
 public final class Commands implements Runnable {
     static final int GOOD = 0;
--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -120,9 +120,9 @@
             answer(Responses.TOO_MANY, Responses.retryAfter(new Span(routed.comeBack())), "");
             return;
         }
-        open = routed == null ? reader.exchange(this, left, reader.product(), reader.tenant())
-                : reader.exchange(this, left, routed.product(reader.product()),
-                        routed.tenant(reader.tenant()));
+        int product = routed == null ? reader.product() : routed.product(reader.product());
+        int tenant = routed == null ? reader.tenant() : routed.tenant(reader.tenant());
+        open = reader.exchange(this, left, product, tenant, clients.pattern(product, routed));
         clients.asks.asked(open);
     }
 
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -2,6 +2,7 @@
 
 import gladewing.http.MessageReader;
 import gladewing.loop.Loop;
+import gladewing.router.Pattern;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.routes.Decision;
@@ -32,6 +33,8 @@
     private final Set<String> openIds = new HashSet<>();
     /** Null where nothing is routed: then no class of what routes is loaded. */
     private Gate gate;
+    /** Null where nothing is stated of that. */
+    private PatternRows rows;
     /** Null where no connection is ever taken over. */
     private Upgrades upgrades;
     /** Taken over: these have limits of their own, and take nobody's place here. */
@@ -72,6 +75,17 @@
         gate = new Gate(table, gate);
     }
 
+    /** From now on multigets that are taken are sent again by these rows. */
+    public void sendAgainBy(PatternRows by) {
+        rows = by;
+    }
+
+    /** Null where the module goes by itself; the decision is null where nothing is routed. */
+    Pattern pattern(int product, Decision routed) {
+        return rows == null ? null
+                : rows.of(product, routed == null || routed.route() == null ? null : routed.route().name);
+    }
+
     public void upgradeBy(Upgrades by) {
         upgrades = by;
     }
--- a/src/main/java/gladewing/clients/Exchange.java
+++ b/src/main/java/gladewing/clients/Exchange.java
@@ -2,6 +2,7 @@
 
 import gladewing.decisions.Taken;
 import gladewing.json.Json;
+import gladewing.router.Pattern;
 import gladewing.router.Span;
 import java.util.List;
 
@@ -13,8 +14,8 @@
     private final ClientConnection from;
 
     Exchange(ClientConnection from, String id, int product, int tenant, Span left, boolean again,
-            List<Part> parts, byte[] text) {
-        super(id, product, tenant, left, again, parts, text);
+            List<Part> parts, byte[] text, Pattern pattern) {
+        super(id, product, tenant, left, again, parts, text, pattern);
         this.from = from;
     }
 
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -5,6 +5,7 @@
 import gladewing.json.Fields;
 import gladewing.json.Json;
 import gladewing.json.Unusable;
+import gladewing.router.Pattern;
 import gladewing.router.Span;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -146,9 +147,9 @@
     }
 
     /** The multiget that was read last, with what is left of its client's time, as it was routed. */
-    Exchange exchange(ClientConnection from, Span ofIt, int asProduct, int asTenant) {
+    Exchange exchange(ClientConnection from, Span ofIt, int asProduct, int asTenant, Pattern pattern) {
         Span now = new Span(Math.max(1, ofIt.micros()));
-        return new Exchange(from, id, asProduct, asTenant, now, again, parts, text);
+        return new Exchange(from, id, asProduct, asTenant, now, again, parts, text, pattern);
     }
 
     int product() {
--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -67,19 +67,11 @@
         return new Config(config.text("name"), Endpoint.read(config.text("listen")),
                 Endpoint.read(config.text("discovery")), seed(config.text("seed")),
                 (int) config.object("limits").whole("sockets"), config.object("known"), settings,
-                names(facts, "RequestClasses"),
-                facts.has("Tenants") ? names(facts, "Tenants") : List.of(), (int) shards.whole("Ranges"),
+                Facts.names(facts, "RequestClasses"),
+                facts.has("Tenants") ? Facts.names(facts, "Tenants") : List.of(), (int) shards.whole("Ranges"),
                 connections, Span.ofMillis(facts.object("Rules").number("DrainGrace", 2000)));
     }
 
-    private static List<String> names(Fields facts, String table) {
-        List<String> names = new ArrayList<>();
-        for (Fields row : facts.objects(table)) {
-            names.add(row.text("Name"));
-        }
-        return names;
-    }
-
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/gladewing/config/Facts.java
+++ b/src/main/java/gladewing/config/Facts.java
@@ -38,6 +38,15 @@
                 prices.number("LateFail", 0));
     }
 
+    /** What the rows of a table are called, in their order. */
+    public static List<String> names(Fields facts, String table) {
+        List<String> names = new ArrayList<>();
+        for (Fields row : facts.objects(table)) {
+            names.add(row.text("Name"));
+        }
+        return names;
+    }
+
     private static List<Settings.Product> products(Fields facts, Fields shards) {
         List<Settings.Product> products = new ArrayList<>();
         for (Fields row : facts.objects("RequestClasses")) {
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -48,7 +48,9 @@
         while (sent.size() < open.size()) {
             sent.add(new ArrayList<>());
         }
-        taken.multiget = router.take(taken.ref, taken.product, taken.tenant, taken.left, taken.again);
+        taken.multiget = taken.pattern == null
+                ? router.take(taken.ref, taken.product, taken.tenant, taken.left, taken.again)
+                : router.take(taken.ref, taken.product, taken.tenant, taken.left, taken.again, taken.pattern);
         for (Taken.Part part : taken.parts) {
             taken.multiget.part(part.shard(), part.weight(), part.work().millis());
         }
--- a/src/main/java/gladewing/decisions/Taken.java
+++ b/src/main/java/gladewing/decisions/Taken.java
@@ -1,6 +1,7 @@
 package gladewing.decisions;
 
 import gladewing.router.Multiget;
+import gladewing.router.Pattern;
 import gladewing.router.Span;
 import java.util.List;
 
@@ -21,6 +22,8 @@
     public final List<Part> parts;
     /** What each transmission of a part must carry, unchanged. */
     public final byte[] text;
+    /** How its parts are sent again; null where the module goes by itself. */
+    public final Pattern pattern;
     private final String[] values;
     int ref;
     Multiget multiget;
@@ -29,6 +32,12 @@
 
     protected Taken(String id, int product, int tenant, Span left, boolean again, List<Part> parts,
             byte[] text) {
+        this(id, product, tenant, left, again, parts, text, null);
+    }
+
+    protected Taken(String id, int product, int tenant, Span left, boolean again, List<Part> parts,
+            byte[] text, Pattern pattern) {
+        this.pattern = pattern;
         this.id = id;
         this.product = product;
         this.tenant = tenant;
--- a/src/main/java/gladewing/router/BucketRing.java
+++ b/src/main/java/gladewing/router/BucketRing.java
@@ -24,6 +24,16 @@
         totals[channel] += amount;
     }
 
+    /** As if added then; nothing where that bucket is used for another time already. */
+    void addAt(Time now, Time then, int channel, double amount) {
+        turn(now);
+        long bucket = Math.floorDiv(then.micros(), bucketMicros);
+        if (bucket <= newest && bucket > newest - buckets.length) {
+            buckets[slot(bucket)][channel] += amount;
+            totals[channel] += amount;
+        }
+    }
+
     /** All that came within the span, and up to one bucket's length before it. */
     public double sum(Time now, int channel) {
         turn(now);
--- a/src/main/java/gladewing/router/Multiget.java
+++ b/src/main/java/gladewing/router/Multiget.java
@@ -9,6 +9,8 @@
     private final QueryRouter router;
     final int product;
     final Settings.Product row;
+    /** In force when it was taken; later files change nothing of it. */
+    final Pattern pattern;
     final double revenue;
     final Time endsAt;
     Time quotedAt;
@@ -22,18 +24,19 @@
     double weightIn;
     /** Parts neither in nor out. */
     int idle;
-    /** Whether a part's only transmission may be overdue. */
+    /** Whether a copy of a part's only transmission may be due. */
     boolean slow;
     boolean firstWhole;
     boolean ended;
     double order;
 
-    Multiget(QueryRouter router, int ref, int product, Settings.Product row, double revenue, Time quotedAt,
-            Time endsAt) {
+    Multiget(QueryRouter router, int ref, int product, Settings.Product row, Pattern pattern,
+            double revenue, Time quotedAt, Time endsAt) {
         this.router = router;
         this.ref = ref;
         this.product = product;
         this.row = row;
+        this.pattern = pattern;
         this.revenue = revenue;
         this.quotedAt = quotedAt;
         this.endsAt = endsAt;
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -33,6 +33,7 @@
     private final Span shortestQuoted;
     private final Span sweep;
     private final Span margin;
+    private final Pattern usual;
     private final Fleet fleet;
     private final List<Multiget> open = new ArrayList<>();
     private int held;
@@ -69,13 +70,11 @@
         this.port = port;
         this.now = now;
         this.fleet = new Fleet(settings.shards());
-        Span quoted = settings.products().get(0).quoted();
-        for (Settings.Product p : settings.products()) {
-            quoted = Span.shortest(quoted, p.quoted());
-        }
+        Span quoted = settings.shortestQuoted();
         shortestQuoted = quoted;
-        sweep = Span.longest(settings.tick(), quoted.times(0.01));
-        margin = sweep.plus(settings.tick());
+        sweep = settings.sweep();
+        margin = settings.margin();
+        usual = Pattern.usual(settings.allowed().transmissionsPerPart());
         int products = settings.products().size();
         tries = new SpanRing[products];
         times = new SpanRing(quoted.times(3), 12);
@@ -107,7 +106,12 @@
     }
 
     public Multiget take(int ref, int product, int tenant, Span left, boolean again) {
-        Settings.Product row = settings.products().get(product);
+        return take(ref, product, tenant, left, again, usual);
+    }
+
+    /** The pattern stays the multiget's to its end. */
+    public Multiget take(int ref, int product, int tenant, Span left, boolean again, Pattern pattern) {
+        Settings.Product row = settings.products().get(product).least(pattern.leastShare());
         taken.add(now, 0, 1);
         double revenue = row.revenue();
         if (tenant < settings.tenants().size()) {
@@ -127,7 +131,8 @@
         boolean repeated = again || jammed() && usual.longerThan(left.times(1.3));
         boolean old = repeated && usual.longerThan(row.quoted());
         Time from = old ? now.plus(Span.shortest(left, usual)).minus(row.limit()) : now;
-        Multiget m = new Multiget(this, ref, product, row, revenue, from.plus(row.quoted()), now.plus(left));
+        Multiget m = new Multiget(this, ref, product, row, pattern, revenue, from.plus(row.quoted()),
+                now.plus(left));
         open.add(m);
         held++;
         return m;
@@ -312,7 +317,8 @@
      * Nothing is sent; what the caller then opens is work to a cold node, and counts as that.
      */
     public int[] place(int product, Set<Integer> avoided, int... shards) {
-        Multiget session = new Multiget(this, -1, product, settings.products().get(product), 0, now, now);
+        Multiget session = new Multiget(this, -1, product, settings.products().get(product), usual, 0,
+                now, now);
         List<Part> unplaced = new ArrayList<>();
         for (int shard : shards) {
             session.parts.add(new Part(session, unplaced.size(), shard, 0));
@@ -453,7 +459,6 @@
             Span age = now.since(t.sentAt);
             if (!t.overdue && age.longerThan(overdue.times(1 / warmth(t.node)))) {
                 t.overdue = true;
-                t.part.of.slow = true;
                 // Silence counts as a slow answer: a fleet gone slow as a whole moves its own yardstick.
                 times.add(now, age);
                 if (t.node.timelyAt == null || t.node.timelyAt.before(t.sentAt)) {
@@ -462,21 +467,61 @@
                     cut(t);
                 }
             }
+            Pattern pattern = t.part.of.pattern;
+            t.copyDue = due(t, age, pattern.copyAfter(), t.overdue);
+            t.part.of.slow |= t.copyDue;
             boolean heard = t.node.heardAt != null && !t.node.heardAt.before(t.sentAt);
-            if (t.overdue && !settings.allowed().secondCopies() && mayFollow(t.part)
-                    && age.longerThan(overdue.times(heard ? 2 : 1)) && elsewhere(t.part)) {
+            boolean given = t.overdue && !settings.allowed().secondCopies()
+                    && age.longerThan(overdue.times(heard ? 2 : 1));
+            if ((due(t, age, pattern.timeOut(), given) || overShare(t, age)) && mayFollow(t.part)
+                    && elsewhere(t.part)) {
                 withdraw(t.part);
+                t.timedOut = t.withdrawn && pattern != usual;
             }
         }
     }
 
+    /** Whether the delay is over, where the module's own bar says given. */
+    private boolean due(Transmission t, Span age, Delay delay, boolean given) {
+        return switch (delay.kind()) {
+            case OVERDUE -> given;
+            case NEVER -> false;
+            default -> !t.withdrawn && age.longerThan(lasting(delay));
+        };
+    }
+
+    private Span lasting(Delay delay) {
+        return delay.capped(switch (delay.kind()) {
+            case USUAL -> typical.times(delay.value());
+            case PERCENTILE -> times.at(now, delay.value(), 20, typical.times(3));
+            default -> Span.ofMillis(delay.value());
+        });
+    }
+
+    /** Until its quoted time a multiget's time is split up to that; a client with less has only that. */
+    private boolean overShare(Transmission t, Span age) {
+        Multiget m = t.part.of;
+        Time goal = t.sentAt.before(m.quotedAt) && m.quotedAt.before(m.endsAt) ? m.quotedAt : m.endsAt;
+        return m.pattern.share() < 1 && !t.withdrawn
+                && age.longerThan(goal.since(t.sentAt).times(m.pattern.share()));
+    }
+
+    /** Whether the pattern leaves time for one more after the wait: else the last has all that is left. */
+    private boolean timeLeft(Part part) {
+        Multiget m = part.of;
+        Time next = part.notBefore == null || part.notBefore.before(now) ? now : part.notBefore;
+        return next.plus(lasting(m.pattern.lastStart())).before(m.endsAt);
+    }
+
     /**
      * Where no second copy may run, a resend throws away what the first has done: so the first is withdrawn
      * only when another node stands ready, and not soon from a node that still answers, slow as it may be.
      */
     private boolean elsewhere(Part part) {
         int strain = strain(part.sent.get(part.sent.size() - 1).node);
-        return fleet.holders(part).stream().anyMatch(n -> fit(n) && ready(n) && canServe(n, part)
+        Pattern pattern = part.of.pattern;
+        Span wait = pattern.pauseAfter(part.sent.size(), 1).plus(lasting(pattern.lastStart()));
+        return part.out == 1 && now.plus(wait).before(part.of.endsAt) && fleet.holders(part).stream().anyMatch(n -> fit(n) && ready(n) && canServe(n, part)
                 && knownLight(n, strain));
     }
 
@@ -515,6 +560,12 @@
         }
         t.ended(outcome);
         Multiget m = t.part.of;
+        if (outcome != Outcome.OK && m.pattern.pause().micros() > 0) {
+            t.part.notBefore = now.plus(m.pattern.pauseAfter(t.part.sent.size(), random.nextDouble()));
+        }
+        if (outcome == Outcome.NOT_SENT && t.number > 0) {
+            m.pattern.notSent(now, t.sentAt);
+        }
         if (outcome == Outcome.OK) {
             t.node.heardAt = now;
             t.node.newsAt = now;
@@ -597,7 +648,7 @@
         double reachable = ROUNDING;
         boolean all = true;
         for (Part p : m.stepParts()) {
-            boolean may = p.in || p.out > 0 || mayFollow(p);
+            boolean may = p.in || p.out > 0 || mayFollow(p) && (p.sent.isEmpty() || timeLeft(p));
             all &= may;
             reachable += may ? p.weight : 0;
         }
@@ -674,7 +725,7 @@
 
     /** Rule 2 and the limit per part: whether the part may be sent once more, whoever asks and why. */
     private boolean mayFollow(Part part) {
-        if (part.sent.isEmpty() || part.sent.size() >= settings.allowed().transmissionsPerPart()) {
+        if (part.sent.isEmpty() || part.sent.size() >= most(part)) {
             return part.sent.isEmpty();
         }
         Settings.Product row = part.of.row;
@@ -683,19 +734,24 @@
                 || now.before(t.sentAt.plus(row.repeatWindow()).minus(margin)));
     }
 
-    private boolean budgetLeft() {
+    private int most(Part part) {
+        return Math.min(part.of.pattern.transmissions(), settings.allowed().transmissionsPerPart());
+    }
+
+    private boolean budgetLeft(Part part) {
         Settings.Rules rules = settings.rules();
-        return rules.budgetSpan().micros() == 0 || further.sum(now, 0) + 1
-                <= rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now, 0);
+        return part.of.pattern.budgetLeft(now) && (rules.budgetSpan().micros() == 0 || further.sum(now, 0) + 1
+                <= rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now, 0));
     }
 
     private List<Part> wanting(Multiget m, boolean copies) {
         List<Part> wanting = new ArrayList<>();
         for (Part p : m.stepParts()) {
-            if (p.in || p.picked || !mayFollow(p) || !p.sent.isEmpty() && !budgetLeft()) {
+            if (p.in || p.picked || !mayFollow(p) || !p.sent.isEmpty() && !(budgetLeft(p) && timeLeft(p))
+                    || p.notBefore != null && now.before(p.notBefore)) {
                 continue;
             }
-            if (copies ? p.out == 1 && p.sent.get(p.sent.size() - 1).overdue : p.out == 0) {
+            if (copies ? p.out == 1 && p.sent.get(p.sent.size() - 1).copyDue : p.out == 0) {
                 wanting.add(p);
             }
         }
@@ -820,13 +876,14 @@
             return false;
         }
         // The budget is asked for each part as it goes, since those of one cover use it up one by one.
-        return part.sent.isEmpty() || budgetLeft()
-                && (node.failures == 0 || part.sent.size() + 1 < settings.allowed().transmissionsPerPart())
-                && part.sent.stream().noneMatch(t -> t.out && t.node == node);
+        return part.sent.isEmpty() || budgetLeft(part)
+                && (node.failures == 0 || part.sent.size() + 1 < most(part))
+                && part.sent.stream().noneMatch(t -> (t.out || t.timedOut) && t.node == node);
     }
 
     private void transmit(Part part, Node node) {
         further.add(now, 0, part.sent.isEmpty() ? 0 : 1);
+        part.of.pattern.sent(now, !part.sent.isEmpty());
         outstanding.add(new Transmission(part, node, now));
         double work = partTimes.work(now, part.of.product, 10);
         if (warmth(node) < 1) {
--- a/src/main/java/gladewing/routes/Rules.java
+++ b/src/main/java/gladewing/routes/Rules.java
@@ -25,11 +25,7 @@
         }
         boolean takesAny = false;
         for (int asked = 0; asked < site.products().size(); asked++) {
-            Map<String, Object> known = new HashMap<>();
-            known.put("product", site.products().get(asked));
-            // The door lets nothing else in.
-            known.put("method", "POST");
-            if (!when.possible(known)) {
+            if (!takes(when, site.products().get(asked))) {
                 continue;
             }
             takesAny = true;
@@ -42,6 +38,15 @@
         }
     }
 
+    /** False only where the condition can't be true for what asks as the product. */
+    static boolean takes(Expression when, String product) {
+        Map<String, Object> known = new HashMap<>();
+        known.put("product", product);
+        // The door lets nothing else in.
+        known.put("method", "POST");
+        return when.possible(known);
+    }
+
     private void weaker(Section section, int asked, int product) {
         Settings.Product from = site.rows().get(asked);
         Settings.Product to = site.rows().get(product);
--- a/src/main/java/gladewing/routes/Table.java
+++ b/src/main/java/gladewing/routes/Table.java
@@ -3,7 +3,11 @@
 import gladewing.expr.Compiled;
 import gladewing.expr.View;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Routes in their order, the first that matches wins. A route that observes is counted where it would have
@@ -28,6 +32,21 @@
         return routes;
     }
 
+    /** By route, the products (by index) that its multigets may be served as, as far as can be told. */
+    public Map<String, Set<Integer>> served(Site site) {
+        Map<String, Set<Integer>> served = new LinkedHashMap<>();
+        for (Route route : routes) {
+            Set<Integer> products = new TreeSet<>();
+            for (int asked = 0; asked < site.products().size(); asked++) {
+                if (Rules.takes(route.when, site.products().get(asked))) {
+                    products.add(route.productIndex >= 0 ? route.productIndex : asked);
+                }
+            }
+            served.put(route.name, products);
+        }
+        return served;
+    }
+
     /** The most steps that one request can cost, whatever it brings. */
     public long cost() {
         return root.cost();
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -1,7 +1,9 @@
 package gladewing.serve;
 
+import gladewing.attempts.Attempts;
 import gladewing.config.Config;
 import gladewing.json.Unusable;
+import gladewing.loop.Loop;
 import gladewing.routes.Table;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -18,34 +20,44 @@
 public final class Program {
     private Program() { }
 
+    /** Settings files of our own, each null where none is named. */
+    public record Files(String routes, String attempts, String live) { }
+
     /**
-     * Serves until it is told to end; the result is the process's exit code. The paths of routes and of
-     * sessions are null where there are none.
+     * Serves until it is told to end; the result is the process's exit code. The paths of the settings files
+     * are null where there are none.
      */
-    public static int run(String configPath, String routesPath, String livePath, PrintStream complaints) {
+    public static int run(String configPath, Files files, PrintStream complaints) {
         Logs.install();
         try {
             if (configPath == null) {
                 throw new Unusable("RELAY_CONFIG is not set");
             }
             Config config = Config.read(configPath);
-            Table table = routesPath == null ? null : Routing.read(routesPath, config);
-            Sessions sessions = livePath == null ? null : Sessions.read(livePath, config);
+            Table table = files.routes == null ? null : Routing.read(files.routes, config);
+            Attempts attempts = files.attempts == null ? null : Repeating.read(files.attempts, config,
+                    table == null ? null : Routing.served(table, config));
+            Sessions sessions = files.live == null ? null : Sessions.read(files.live, config);
             MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
             Rehearsal.play(config);
             Bootstrap bootstrap = Serve.bootstrap(thread);
             Serve serve = thread.submit(() -> new Serve(thread, config,
                     (handler, to) -> bootstrap.clone().handler(handler).connect(to), sessions)).get();
-            Routing routing = table == null ? null : new Routing(routesPath, config, serve, thread, table);
+            Routing routing = table == null ? null : new Routing(files.routes, config, serve, thread, table);
+            Repeating repeating = attempts == null ? null : thread.submit(
+                    () -> Repeating.start(files.attempts, config, serve, attempts)).get();
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
                 throw new Unusable("can't listen on " + config.listen() + ": "
                         + listening.cause().getMessage());
             }
-            Signal.handle(new Signal("HUP"), hangup -> reread(configPath, thread, serve, routing));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending(), routing),
-                    "ending"));
+            Signal.handle(new Signal("HUP"), hangup -> {
+                reread(configPath, thread, serve);
+                reread(config, thread, routing, repeating);
+            });
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending(), routing,
+                    repeating), "ending"));
             group.terminationFuture().await();
             return 0;
         } catch (Unusable bad) {
@@ -62,8 +74,7 @@
      * Without a handler SIGHUP ends a JVM. Each comes on a thread of its own: the file is read there, so that
      * the loop goes on, and one at a time, so that the file that was read last is the one that stays.
      */
-    private static synchronized void reread(String configPath, EventLoop thread, Serve serve,
-            Routing routing) {
+    private static synchronized void reread(String configPath, EventLoop thread, Serve serve) {
         try {
             Config fresh = Config.read(configPath);
             thread.execute(() -> serve.configure(fresh));
@@ -73,18 +84,43 @@
                     "the configuration in use stays, the new one can't be used: "
                     + bad.getMessage());
         }
-        if (routing != null) {
-            routing.reread();
+    }
+
+    /**
+     * Routes and the rows that name them are taken over together, or neither is: a row must not be left without
+     * its route, nor a route be sent again by another's row.
+     */
+    private static synchronized void reread(Config config, EventLoop thread, Routing routing,
+            Repeating repeating) {
+        Table table = routing == null ? null : routing.reread();
+        if (routing != null && table == null) {
+            return;
         }
+        Attempts attempts = repeating == null ? null
+                : repeating.reread(table == null ? null : Routing.served(table, config));
+        if (repeating != null && attempts == null) {
+            return;
+        }
+        thread.execute(() -> {
+            if (table != null) {
+                routing.put(table);
+            }
+            if (attempts != null) {
+                repeating.put(attempts, Loop.clock());
+            }
+        });
     }
 
-    private static void end(EventLoop thread, Ending ending, Routing routing) {
+    private static void end(EventLoop thread, Ending ending, Routing routing, Repeating repeating) {
         try {
             thread.execute(ending::begin);
             ending.await();
             if (routing != null) {
                 thread.submit(routing::tell).get();
             }
+            if (repeating != null) {
+                thread.submit(() -> repeating.tell(Loop.clock())).get();
+            }
         } catch (InterruptedException ended) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | RejectedExecutionException fault) {
--- a/src/main/java/gladewing/serve/Routing.java
+++ b/src/main/java/gladewing/serve/Routing.java
@@ -8,6 +8,8 @@
 import gladewing.settings.Faulty;
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.logging.Logger;
 
 /**
@@ -47,17 +49,18 @@
                 config.settings().routers());
     }
 
+    /** Their names, and what each may serve, for settings that name them. */
+    static Map<String, Set<Integer>> served(Table table, Config config) {
+        return table.served(site(config));
+    }
+
     /**
-     * On the signal's thread; a file that can't be used costs one line, and `routes check` tells the rest.
+     * On the signal's thread; a file that can't be used costs one line, and `routes check` tells the rest. Null
+     * then.
      */
-    void reread() {
+    Table reread() {
         try {
-            Table fresh = RouteFile.read(path, site);
-            thread.execute(() -> {
-                tell();
-                use(fresh);
-                LOG.info("routes read anew: " + fresh.routes().size() + " from " + path);
-            });
+            return RouteFile.read(path, site);
         } catch (Faulty bad) {
             LOG.warning("routes: the table in use stays, " + path + " has " + bad.faults().size()
                     + " faults, the first: "
@@ -65,6 +68,14 @@
         } catch (RuntimeException fault) {
             LOG.warning("routes: the table in use stays, " + path + " can't be used: " + fault);
         }
+        return null;
+    }
+
+    /** On the loop's thread. */
+    void put(Table fresh) {
+        tell();
+        use(fresh);
+        LOG.info("routes read anew: " + fresh.routes().size() + " from " + path);
     }
 
     private void use(Table fresh) {
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -2,6 +2,7 @@
 
 import gladewing.clients.Asks;
 import gladewing.clients.Clients;
+import gladewing.clients.PatternRows;
 import gladewing.clients.Site;
 import gladewing.config.Config;
 import gladewing.decisions.Decisions;
@@ -132,6 +133,11 @@
         clients.route(table);
     }
 
+    /** On the loop's thread: from the next multiget on. */
+    void sendAgainBy(PatternRows rows) {
+        clients.sendAgainBy(rows);
+    }
+
     /** On the loop's thread: what a running program can take on is where discovery is. */
     void configure(Config fresh) {
         loop.pass();
--- a/src/test/java/gladewing/clients/RequestReaderTest.java
+++ b/src/test/java/gladewing/clients/RequestReaderTest.java
@@ -39,6 +39,6 @@
     }
 
     private static Taken exchange(RequestReader reader, Span left) {
-        return reader.exchange(null, left, reader.product(), reader.tenant());
+        return reader.exchange(null, left, reader.product(), reader.tenant(), null);
     }
 }
--- /dev/null
+++ b/src/test/java/gladewing/router/PatternTest.java
@@ -0,0 +1,179 @@
+package gladewing.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** What the module does by a row that says how parts are sent again. */
+class PatternTest {
+    private final Trace trace = new Trace();
+
+    private static Span ms(double millis) {
+        return Span.ofMillis(millis);
+    }
+
+    private static Pattern pattern(int transmissions, double timeOut, double share, double pause, double jitter,
+            Delay copyAfter, double lastStart, RepeatBudget own, RepeatBudget all) {
+        return new Pattern(transmissions, timeOut == 0 ? Delay.NEVER : Delay.fixed(ms(timeOut)), share, ms(pause),
+                2, ms(10_000), jitter, copyAfter, Delay.fixed(ms(lastStart)), 0, own, all);
+    }
+
+    private static void ended(Multiget m, int transmission, Outcome outcome) {
+        m.outcome(0, transmission, outcome, ms(100), null);
+    }
+
+    @Test
+    void eachTimeOutGoesToAnotherNodeAndTheLastHasTheRest() throws IOException {
+        trace.copies = false;
+        trace.cells = 1;
+        trace.reach = 1;
+        trace.pattern = pattern(3, 100, 1, 0, 0, Delay.NEVER, 0, null, null);
+        trace.start().nodes(0, 0, 0).say("two time out, each answers just after it; the third may take its time");
+        Multiget m = trace.take(3000, 0);
+        trace.to(115);
+        ended(m, 0, Outcome.WITHDRAWN);
+        trace.to(240);
+        ended(m, 1, Outcome.WITHDRAWN);
+        trace.to(900);
+        ended(m, 2, Outcome.OK);
+        trace.say("a client with less than one time-out is not cut short by it");
+        trace.pattern = pattern(3, 300, 1, 0, 0, Delay.NEVER, 0, null, null);
+        Multiget brief = trace.take(200, 0);
+        trace.to(1050);
+        ended(brief, 0, Outcome.OK);
+        trace.say("no time-out where only one node holds the part: its work is not thrown away");
+        trace.router().nodeGone(0);
+        trace.router().nodeGone(1);
+        trace.take(1500, 0);
+        trace.to(2500);
+        trace.matches("pattern-time-out");
+    }
+
+    @Test
+    void timeIsSplitWaitsGrowAndNothingBeginsNearTheEnd() throws IOException {
+        trace.copies = false;
+        trace.cells = 1;
+        trace.reach = 1;
+        trace.pattern = pattern(3, 0, 0.5, 50, 0, Delay.NEVER, 200, null, null);
+        trace.start().nodes(0, 0, 0, 0, 0, 0, 0).say("half of the 600 ms that are left, then half of what is left then");
+        Multiget m = trace.take(600, 0);
+        trace.to(315);
+        ended(m, 0, Outcome.WITHDRAWN);
+        trace.say("after its wait there are less than 200 ms for another: the second has the rest");
+        trace.to(700);
+        trace.say("after an error: 50 ms, then 100 ms");
+        Multiget errors = trace.take(2000, 0);
+        trace.to(710);
+        ended(errors, 0, Outcome.ERROR);
+        trace.to(810);
+        ended(errors, 1, Outcome.ERROR);
+        trace.to(1000).say("an error with less than 200 ms left: dismissed at once, not at the end");
+        Multiget late = trace.take(300, 0);
+        trace.to(1150);
+        ended(late, 0, Outcome.ERROR);
+        trace.to(1160);
+        trace.matches("pattern-split");
+    }
+
+    @Test
+    void copiesGoWhenTheirRowSaysSo() throws IOException {
+        trace.cells = 1;
+        trace.reach = 1;
+        trace.pattern = pattern(2, 0, 1, 0, 0, Delay.fixed(ms(80)), 0, null, null);
+        trace.start().nodes(0, 0);
+        Multiget m = trace.take(2000, 0);
+        trace.to(110);
+        ended(m, 1, Outcome.OK);
+        ended(m, 0, Outcome.WITHDRAWN);
+        trace.say("never: even long overdue");
+        trace.pattern = pattern(2, 0, 1, 0, 0, Delay.NEVER, 0, null, null);
+        trace.take(2000, 0);
+        trace.to(2200);
+        trace.matches("pattern-copies");
+    }
+
+    @Test
+    void aRouteThatHasUsedItsBudgetStarvesNoOther() throws IOException {
+        trace.copies = false;
+        trace.cells = 1;
+        trace.reach = 1;
+        RepeatBudget all = new RepeatBudget(ms(5000), 0, 2);
+        RepeatBudget greedy = new RepeatBudget(ms(5000), 5, 0);
+        RepeatBudget modest = new RepeatBudget(ms(5000), 0, 1);
+        trace.start().nodes(0, 0, 0, 0, 0, 0, 0, 0);
+        for (int i = 0; i < 3; i++) {
+            trace.pattern = pattern(2, 0, 1, 0, 0, Delay.NEVER, 0, greedy, all);
+            Multiget m = trace.take(3000, 0);
+            trace.to(10 * i + 5);
+            ended(m, 0, Outcome.FULL);
+        }
+        trace.say("two of the first route were all that there is; the other still has its own floor of one");
+        trace.pattern = pattern(2, 0, 1, 0, 0, Delay.NEVER, 0, modest, all);
+        for (int i = 0; i < 2; i++) {
+            Multiget other = trace.take(3000, 0);
+            trace.to(100 + 10 * i);
+            ended(other, 0, Outcome.FULL);
+        }
+        trace.to(200);
+        trace.matches("pattern-budget");
+    }
+
+    @Test
+    void aReloadKeepsTheRowOfWhatIsOpenAndWhatBudgetsCounted() throws IOException {
+        trace.copies = false;
+        trace.cells = 1;
+        trace.reach = 1;
+        RepeatBudget before = new RepeatBudget(ms(5000), 0, 1);
+        trace.pattern = pattern(3, 100, 1, 0, 0, Delay.NEVER, 0, before, null);
+        trace.start().nodes(0, 0, 0, 0);
+        Multiget open = trace.take(3000, 0);
+        trace.to(115);
+        ended(open, 0, Outcome.WITHDRAWN);
+        trace.to(130).say("reload: time-out of 300 ms, budget of 2, of which one is used up");
+        RepeatBudget after = new RepeatBudget(ms(5000), 0, 2);
+        after.follow(before, Time.ofMillis(130));
+        trace.pattern = pattern(3, 300, 1, 0, 0, Delay.NEVER, 0, after, null);
+        Multiget fresh = trace.take(3000, 0);
+        trace.to(500);
+        ended(fresh, 0, Outcome.WITHDRAWN);
+        trace.to(2900);
+        trace.matches("pattern-reload");
+        assertEquals(2, after.used(Time.ofMillis(500)));
+    }
+
+    @Test
+    void whatNeverLeftIsGivenBackAndForgottenWhenItWasTaken() {
+        Random random = new Random(5);
+        for (int history = 0; history < 200; history++) {
+            RepeatBudget budget = new RepeatBudget(ms(1000), 0.1, 2);
+            java.util.List<Double> repeats = new java.util.ArrayList<>();
+            java.util.List<Double> firsts = new java.util.ArrayList<>();
+            double now = 0;
+            for (int step = 0; step < 300; step++) {
+                now += random.nextInt(3) == 0 ? random.nextInt(400) : random.nextInt(10);
+                Time at = Time.ofMillis(now);
+                int what = random.nextInt(4);
+                if (what < 2) {
+                    budget.sent(at, false);
+                    firsts.add(now);
+                } else if (what == 2 && budget.left(at)) {
+                    budget.sent(at, true);
+                    repeats.add(now);
+                } else if (!repeats.isEmpty() && what == 3) {
+                    double then = repeats.remove(random.nextInt(repeats.size()));
+                    budget.notSent(at, Time.ofMillis(then));
+                }
+                double from = now - 1000;
+                long used = repeats.stream().filter(t -> t > from).count();
+                long sent = firsts.stream().filter(t -> t > from).count();
+                assertTrue(budget.used(at) >= used, "counted " + budget.used(at) + " of " + used);
+                assertTrue(used <= 2 + 0.1 * firsts.size(), "never more than its share of all");
+                assertFalse(budget.left(at) && used + 1 > 2 + 0.1 * sent + 1e-9, "no room beyond the share");
+            }
+        }
+    }
+}
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -26,6 +26,8 @@
     double budgetShare;
     boolean asked;
     boolean probes;
+    /** What multigets are taken with; null where the module goes by itself. */
+    Pattern pattern;
 
     private final StringBuilder printed = new StringBuilder();
     private final List<Multiget> taken = new ArrayList<>();
@@ -62,7 +64,8 @@
     }
 
     Multiget take(double left, int... shards) {
-        Multiget m = router.take(taken.size(), ONE, 0, Span.ofMillis(left), false);
+        Multiget m = pattern == null ? router.take(taken.size(), ONE, 0, Span.ofMillis(left), false)
+                : router.take(taken.size(), ONE, 0, Span.ofMillis(left), false, pattern);
         taken.add(m);
         for (int shard : shards) {
             m.part(shard, 1.0 / shards.length, 0);
