--- a/src/test/java/gladewing/cli/CommandsTest.java
+++ b/src/test/java/gladewing/cli/CommandsTest.java
@@ -71,4 +71,25 @@
         run("expr", "evil");
         assertEquals(Trace.kept("commands.txt"), told.toString());
     }
+
+    @Test
+    void settingsAreCheckedAndShown() throws IOException {
+        write("config.json", Trace.kept("serve-config.json").replace("LISTEN", "127.0.0.1:1")
+                .replace("DISCOVERY", "127.0.0.1:2").replace("\"KNOWN\"",
+                        "{\"rev\":0,\"all\":true,\"targets\":[]}"));
+        write("routes.ini", "[route corfu]\nwhen = request.product == 'sheet'\n");
+        write("good.ini", "[fleet]\nparts = 10\ncapacity = 60\n[default]\nbudget = 0.1\n[product report]\n"
+                + "time-out = 3 usual, at most 400ms\nwait = 20ms\n[route corfu]\ntransmissions = 2\n");
+        write("bad.ini", "[product order]\ntime-out = 100ms\n");
+        run("settings", "check", "good.ini", "--config", "config.json", "--routes", "routes.ini");
+        run("settings", "show", "good.ini", "--config", "config.json", "--routes", "routes.ini", "--route",
+                "corfu");
+        run("settings", "show", "good.ini", "--config", "config.json", "--routes", "routes.ini", "--product",
+                "none");
+        run("settings", "check", "good.ini", "--config", "config.json");
+        run("settings", "check", "bad.ini", "--config", "config.json");
+        run("settings", "check", "bad.ini");
+        run("settings");
+        assertEquals(Trace.kept("commands-settings.txt"), told.toString(), "commands-settings");
+    }
 }
