Erring nodes: no trust in a jam after three errors, and what only they hold is tried first

Change: three errors in a row end a jam's trust; a part that only an erring node holds is tried at once, the rest of its multiget waits; parts of what has not begun are no jam while a fit node holds them (found by a slip).

--- a/benchmarks/src/main/java/gladewing/benchmarks/SlowdownModel.java
+++ b/benchmarks/src/main/java/gladewing/benchmarks/SlowdownModel.java
@@ -23,7 +23,8 @@
 import java.util.Random;
 
 /**
- * Every node slower at once, by a factor from 1 to 8, for ten of thirty seconds: what each file of rows makes of
+ * Every node slower at once, by a factor from 1 to 8, for ten of thirty seconds: what each file of rows
+ * makes of
  * it. Two products, a dear one and a cheap one; nodes are queues with two places at work; what is withdrawn
  * leaves the queue, but goes on where it is at work. The routers are the module itself, each with rows of its
  * own. Virtual time, one thread, the same arrivals for every file.
@@ -133,7 +134,8 @@
         void ended(Job job, Outcome outcome) {
             if (!job.over) {
                 job.over = true;
-                turn(() -> job.multiget.outcome(job.part, job.number, outcome, Span.ofMillis(now - job.sentAt),
+                turn(() -> job.multiget.outcome(job.part, job.number, outcome,
+                        Span.ofMillis(now - job.sentAt),
                         (Load) null));
             }
         }
@@ -258,7 +260,8 @@
     }
 
     private static Settings settings(boolean copies) {
-        return new Settings(ROUTERS, Span.ofMillis(5), new Settings.Rules(Span.ZERO, 0.2, Span.ofMillis(10_000),
+        return new Settings(ROUTERS, Span.ofMillis(5), new Settings.Rules(Span.ZERO, 0.2,
+                Span.ofMillis(10_000),
                 2.5, Span.ofMillis(1500), Span.ZERO, 0, 0),
                 new Settings.Allowed(false, true, copies, 3, 2000, Span.ZERO), new Settings.Shards(CELLS, 2),
                 List.of(product(4), product(1)), List.of(), false, false, 1, 0.1);
@@ -301,11 +304,13 @@
         Map<String, String> files = new LinkedHashMap<>();
         files.put("today", null);
         files.put("dear", fleet + "[product report]\ntime-out = 4 usual, at most 500ms\n"
-                + "budget = 0.1\nbudget-span = 1500ms\n[product sheet]\ntime-out = never\ntransmissions = 2\nlast-start = 300ms\n");
+                + "budget = 0.1\nbudget-span = 1500ms\n[product sheet]\ntime-out = never\ntransmissions = "
+                + "2\nlast-start = 300ms\n");
         files.put("lean", fleet + "[default]\ntime-out = never\ncopy-after = never\ntransmissions = 2\n"
                 + "last-start = 300ms\n");
         files.put("eager", "[fleet]\nparts = 1200\ncapacity = 1000000\n[default]\ntime-out = 120ms\n");
-        files.put("eager+budget", fleet + "[default]\ntime-out = 120ms\nbudget = 0.08\nbudget-span = 1500ms\n");
+        files.put("eager+budget", fleet
+                + "[default]\ntime-out = 120ms\nbudget = 0.08\nbudget-span = 1500ms\n");
         if (copies) {
             files.put("copies", "[fleet]\nparts = 1200\ncapacity = 1000000\n[default]\ntime-out = never\n"
                     + "copy-after = 60ms\n");
@@ -320,8 +325,10 @@
         double load = args.length > 0 ? Double.parseDouble(args[0]) : 0.5;
         int seeds = args.length > 1 ? Integer.parseInt(args[1]) : 5;
         boolean copies = args.length > 2 && args[2].equals("copies");
-        System.out.printf(Locale.ROOT, "load %.2f of capacity, %d seeds%s%n%-14s %6s  %6s %6s  %6s  %6s  %6s  %6s%n",
-                load, seeds, copies ? ", second copies allowed" : "", "rows", "slower", "report", "sheet", "all",
+        System.out.printf(Locale.ROOT,
+                "load %.2f of capacity, %d seeds%s%n%-14s %6s  %6s %6s  %6s  %6s  %6s  %6s%n",
+                load, seeds, copies ? ", second copies allowed" : "", "rows", "slower", "report", "sheet",
+                "all",
                 "sent/1", "slow", "wasted");
         files(copies).forEach((name, rows) -> {
             for (double factor : new double[] {1, 1.5, 2, 3, 4, 6, 8}) {
@@ -338,7 +345,8 @@
                     sum.slowFirst += c.slowFirst;
                     sum.wasted += c.wasted;
                 }
-                System.out.printf(Locale.ROOT, "%-14s %6.1f  %6.3f %6.3f  %6.3f  %6.3f  %6.3f  %6.3f%n", name, factor,
+                System.out.printf(Locale.ROOT, "%-14s %6.1f  %6.3f %6.3f  %6.3f  %6.3f  %6.3f  %6.3f%n",
+                        name, factor,
                         sum.earned[0] / sum.asked[0], sum.earned[1] / sum.asked[1],
                         (sum.earned[0] + sum.earned[1]) / (sum.asked[0] + sum.asked[1]), sum.sent / sum.first,
                         sum.slowSent / sum.slowFirst, sum.wasted / sum.first);
--- a/examples/ToySite.java
+++ b/examples/ToySite.java
@@ -12,7 +12,8 @@
 
 /**
  * A toy site on loopback to try gladewing with: discovery on port 18500 and three data nodes on ports 15001
- * to 15003, in three cells. A node answers each part after some milliseconds with the words "shard N of NODE".
+ * to 15003, in three cells. A node answers each part after some milliseconds with the words "shard N of
+ * NODE".
  * Start: java examples/ToySite.java
  */
 public class ToySite {
@@ -26,7 +27,8 @@
             listen(FIRST_NODE_PORT + i, socket -> node(name, socket));
         }
         listen(DISCOVERY_PORT, ToySite::discovery);
-        System.out.println("toy site: discovery on 127.0.0.1:" + DISCOVERY_PORT + ", " + NODES + " data nodes from port "
+        System.out.println("toy site: discovery on 127.0.0.1:" + DISCOVERY_PORT + ", " + NODES
+                + " data nodes from port "
                 + FIRST_NODE_PORT + "; end it with Ctrl-C");
     }
 
@@ -56,7 +58,8 @@
 
     /** The list never changes: a watch is answered with no entries when its time is over. */
     private static void discovery(Socket socket) throws IOException, InterruptedException {
-        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                StandardCharsets.US_ASCII));
         for (String line = in.readLine(); line != null; line = in.readLine()) {
             String asked = line;
             while (line != null && !line.isEmpty()) {
@@ -69,12 +72,14 @@
             } else {
                 for (int i = 0; i < NODES; i++) {
                     targets.append(i > 0 ? "," : "").append("{\"uid\":\"toy-").append((char) ('a' + i))
-                            .append("\",\"endpoint\":\"127.0.0.1:").append(FIRST_NODE_PORT + i).append("\",\"pod_group\":")
+                            .append("\",\"endpoint\":\"127.0.0.1:").append(FIRST_NODE_PORT
+                            + i).append("\",\"pod_group\":")
                             .append(i).append(",\"state\":\"up\",\"boot_ms\":0}");
                 }
             }
             String body = "{\"rev\":1,\"all\":" + !watch + ",\"targets\":[" + targets + "]}";
-            socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+            socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body)
                     .getBytes(StandardCharsets.US_ASCII));
         }
     }
@@ -96,7 +101,8 @@
         }
     }
 
-    private static void call(String name, byte[] frame, DataOutputStream out) throws IOException, InterruptedException {
+    private static void call(String name, byte[] frame, DataOutputStream out) throws IOException,
+            InterruptedException {
         for (int at = 1; at < frame.length; ) {
             int end = at;
             while (frame[end] != '\n') {
--- a/src/main/java/gladewing/Main.java
+++ b/src/main/java/gladewing/Main.java
@@ -27,7 +27,8 @@
             System.exit(Commands.run(args, System.out, System.err));
         }
         System.err.println("usage: java -jar gladewing.jar "
-                + "benchlink [--attempts FILE] | serve [--routes FILE] [--attempts FILE] [--live FILE] | routes | "
+                + "benchlink [--attempts FILE] | serve [--routes FILE] [--attempts FILE] [--live FILE] | "
+                + "routes | "
                 + "settings | expr");
         System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output\n"
                 + "  serve       be a router on sockets; RELAY_CONFIG names its configuration\n"
--- a/src/main/java/gladewing/attempts/Attempts.java
+++ b/src/main/java/gladewing/attempts/Attempts.java
@@ -15,7 +15,8 @@
 import java.util.TreeSet;
 
 /**
- * A file that says how parts are sent again, read and proved: rows for each product, and for each product that
+ * A file that says how parts are sent again, read and proved: rows for each product, and for each product
+ * that
  * a named route may serve. A section states what differs: route before product before default.
  */
 public final class Attempts {
@@ -166,7 +167,8 @@
     public List<String> shown(String product, String route) {
         List<String> lines = new ArrayList<>();
         for (Row row : rows) {
-            if ((product == null || product.equals(row.product)) && (route == null || route.equals(row.route))) {
+            if ((product == null || product.equals(row.product)) && (route == null
+                    || route.equals(row.route))) {
                 lines.add(row.name());
                 row.shown().forEach(line -> lines.add("    " + line));
             }
--- a/src/main/java/gladewing/attempts/Demand.java
+++ b/src/main/java/gladewing/attempts/Demand.java
@@ -6,7 +6,8 @@
 import java.util.Set;
 
 /**
- * The most further transmissions of all routers together that every node slow at once can bring within a span,
+ * The most further transmissions of all routers together that every node slow at once can bring within a
+ * span,
  * in two terms: what grows with the load, as a number a first transmission a second, and what the floors of
  * budgets allow whatever the load is. The load may come by any mix of rows, so the worst row counts for all.
  */
--- a/src/main/java/gladewing/attempts/Key.java
+++ b/src/main/java/gladewing/attempts/Key.java
@@ -8,7 +8,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** What a section may state of how parts are sent again: its name, what stands without it, and how it reads. */
+/**
+ * What a section may state of how parts are sent again: its name, what stands without it, and how it reads.
+ */
 enum Key {
     TRANSMISSIONS("transmissions", null, s -> (int) s.whole("transmissions", 1, 1, 100)),
     TIME_OUT("time-out", "overdue", s -> delay(s, "time-out", Delay.Kind.OVERDUE, Delay.Kind.NEVER,
--- a/src/main/java/gladewing/attempts/Patterns.java
+++ b/src/main/java/gladewing/attempts/Patterns.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** The rows in force, as the module reads them: found by product, and by route where one took the multiget. */
+/**
+ * The rows in force, as the module reads them: found by product, and by route where one took the multiget.
+ */
 public final class Patterns {
     private final Pattern[] byProduct;
     private final Map<String, Pattern[]> byRoute = new HashMap<>();
--- a/src/main/java/gladewing/attempts/Proof.java
+++ b/src/main/java/gladewing/attempts/Proof.java
@@ -59,7 +59,8 @@
         if (row.copies() && !settings.allowed().secondCopies()) {
             refuse(0, row, Key.COPY_AFTER, "the site forbids second copies, wanted: never",
                     List.of("t = 0 ms: transmission 1 is sent",
-                            "t = " + Walk.millis(least(row.copyAfter())) + ": its copy would go while it is out"));
+                            "t = " + Walk.millis(least(row.copyAfter()))
+                            + ": its copy would go while it is out"));
         }
         if (row.timesOut() && !settings.allowed().withdrawals()) {
             Key key = row.number(Key.SPLIT) < 1 ? Key.SPLIT : Key.TIME_OUT;
@@ -70,7 +71,8 @@
         }
         if ((row.timesOut() || row.copies()) && row.transmissions() < 2) {
             Key key = row.copies() ? Key.COPY_AFTER : row.number(Key.SPLIT) < 1 ? Key.SPLIT : Key.TIME_OUT;
-            refuse(0, row, key, "one transmission a part leaves nothing to follow, wanted: transmissions of 2 "
+            refuse(0, row, key, "one transmission a part leaves nothing to follow, wanted: transmissions "
+                    + "of 2 "
                     + "or more", List.of());
         }
     }
@@ -79,7 +81,9 @@
         return delay.kind() == Delay.Kind.FIXED ? Math.round(delay.value() * 1000) : 0;
     }
 
-    /** Rule 2, for every way in which the earlier transmission can end: silence is the one that may have run. */
+    /**
+     * Rule 2, for every way in which the earlier transmission can end: silence is the one that may have run.
+     */
     private void effect(Row row) {
         if (row.of.effect() == Settings.Effect.REPEATABLE) {
             return;
@@ -88,7 +92,8 @@
         if (once && row.timesOut()) {
             Key key = row.number(Key.SPLIT) < 1 ? Key.SPLIT : Key.TIME_OUT;
             refuse(2, row, key, "once-only: what has timed out may have run and can't be sent again, wanted: "
-                    + (key == Key.SPLIT ? "1" : "never or overdue"), List.of("t = 0 ms: transmission 1 is sent",
+                    + (key == Key.SPLIT ? "1" : "never or overdue"),
+                    List.of("t = 0 ms: transmission 1 is sent",
                     "t = 1 ms: its node runs it and falls silent", "t = "
                             + Walk.millis(least(row.timeOut())) + ": it times out", "then: transmission 2 "
                             + "would be a second effect"));
@@ -111,7 +116,8 @@
         }
         if (!once && row.copyAfter().kind() == Delay.Kind.FIXED && least(row.copyAfter()) >= window) {
             refuse(2, row, Key.COPY_AFTER, "tagged: a copy at " + Walk.millis(least(row.copyAfter()))
-                    + " is past the repeat window of " + Walk.millis(row.of.repeatWindow().micros()), List.of());
+                    + " is past the repeat window of " + Walk.millis(row.of.repeatWindow().micros()),
+                    List.of());
         }
     }
 
@@ -129,7 +135,8 @@
             refuse(1, row, Key.TIME_OUT, "what is usual has no bound, wanted: a cap, such as "
                     + row.value(Key.TIME_OUT).text() + ", at most 800ms; or split below 1",
                     List.of("t = 0 ms: every node turns ten times slower, and usual with them",
-                            "t = " + Walk.millis(clientTime.micros()) + ": transmission 1 has not timed out yet"));
+                            "t = " + Walk.millis(clientTime.micros())
+                            + ": transmission 1 has not timed out yet"));
             return;
         }
         Walk walk = new Walk(row, settings, site.connecting(), clientTime, row.transmissions());
@@ -159,7 +166,9 @@
         }
     }
 
-    /** Rule 6, at no load and at a load without end: what lies between follows, as both sides are straight. */
+    /**
+     * Rule 6, at no load and at a load without end: what lies between follows, as both sides are straight.
+     */
     private void budget(List<Row> rows, Row all) {
         Settings.Rules rules = settings.rules();
         double seconds = rules.budgetSpan().millis() / 1000;
@@ -174,7 +183,8 @@
         if (ratio > rules.budgetShare() + 1e-9) {
             refuse(6, demand.worst, key, "every node slow at once brings " + round(ratio)
                     + " further transmissions for each first one, wanted: at most " + rules.budgetShare(),
-                    List.of("t = 0 ms: every node turns slow", "within " + Walk.millis(rules.budgetSpan().micros())
+                    List.of("t = 0 ms: every node turns slow", "within "
+                    + Walk.millis(rules.budgetSpan().micros())
                             + ": " + round(ratio) + " for each first one, whatever the load"));
         }
         if (floors > rules.budgetFree() + 1e-9) {
@@ -190,7 +200,8 @@
     private void fresh(List<Row> rows, Row all, Fleet fleet) {
         Row first = rows.stream().filter(row -> row.furtherBySlowness() > 0).findFirst().orElseThrow();
         if (fleet == null) {
-            refuse(4, Fleet.SECTION, Key.COPY_AFTER, "missing, wanted: [fleet] with parts and capacity, since "
+            refuse(4, Fleet.SECTION, Key.COPY_AFTER,
+                    "missing, wanted: [fleet] with parts and capacity, since "
                     + first.name() + " sends again by the clock and a fresh node must bear it", List.of());
             return;
         }
@@ -210,8 +221,10 @@
                     List.of("t = 0 ms: every node turns slow but one that has just started; "
                             + round(fleet.parts()) + " parts a second go out", "within "
                             + Walk.millis(rules.fallSpan().micros()) + ": " + round(demand.at(fleet.parts()))
-                            + " are sent again, " + round(load) + " of them of shards that the fresh node holds",
-                            "it bears " + round(bears) + ": " + rules.coldShare() + " of " + round(fleet.capacity())
+                            + " are sent again, " + round(load)
+                            + " of them of shards that the fresh node holds",
+                            "it bears " + round(bears) + ": " + rules.coldShare() + " of "
+                            + round(fleet.capacity())
                             + " a second, times " + rules.fallMultiple()));
         }
     }
--- a/src/main/java/gladewing/attempts/Row.java
+++ b/src/main/java/gladewing/attempts/Row.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** What holds for the multigets of one product that one route took, or that none did; and where it is said. */
+/**
+ * What holds for the multigets of one product that one route took, or that none did; and where it is said.
+ */
 public final class Row {
     final String product;
     final int index;
--- a/src/main/java/gladewing/attempts/Walk.java
+++ b/src/main/java/gladewing/attempts/Walk.java
@@ -9,7 +9,8 @@
 
 /**
  * A row's pattern at its longest: each transmission but the last is silent until the clock withdraws it, each
- * wait is as long as jitter makes it, and what falls due is noticed a margin late. All in microseconds from the
+ * wait is as long as jitter makes it, and what falls due is noticed a margin late. All in microseconds from
+ * the
  * first transmission.
  */
 final class Walk {
--- a/src/main/java/gladewing/benchlink/BenchLink.java
+++ b/src/main/java/gladewing/benchlink/BenchLink.java
@@ -65,7 +65,8 @@
         } catch (Unusable bad) {
             complain(bad.getMessage());
         } catch (JsonProcessingException bad) {
-            complain("not a JSON message: " + bad.getOriginalMessage().replaceFirst(" \\(start marker.*", ""));
+            complain("not a JSON message: " + bad.getOriginalMessage().replaceFirst(" \\(start marker.*",
+                    ""));
         }
         return 1;
     }
--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -68,7 +68,8 @@
                 Endpoint.read(config.text("discovery")), seed(config.text("seed")),
                 (int) config.object("limits").whole("sockets"), config.object("known"), settings,
                 Facts.names(facts, "RequestClasses"),
-                facts.has("Tenants") ? Facts.names(facts, "Tenants") : List.of(), (int) shards.whole("Ranges"),
+                facts.has("Tenants") ? Facts.names(facts, "Tenants") : List.of(),
+                (int) shards.whole("Ranges"),
                 connections, Span.ofMillis(facts.object("Rules").number("DrainGrace", 2000)));
     }
 
--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -42,7 +42,9 @@
     private int live;
     private ChannelFuture lastFrame;
     private Time writtenAt;
-    /** Since when something is owed and no frame has come; and how long that was before, when all was dropped. */
+    /**
+     * Since when something is owed and no frame has come; and how long that was before, when all was dropped.
+     */
     private Time owedSince;
     private Span silence = Span.ZERO;
     /** Ends the connection where a frame has begun to come and its rest does not. */
@@ -78,7 +80,8 @@
     }
 
     /**
-     * It took what was sent, but for twice as long as a new one may take to come up no frame came back: the way
+     * It took what was sent, but for twice as long as a new one may take to come up no frame came back: the
+     * way
      * may be gone with both ends open, while the node is well. The next go over another, till a frame comes.
      */
     boolean silent() {
@@ -171,7 +174,10 @@
         dropped();
     }
 
-    /** The parts of a multiget that has its final answer are not sent again, and late answers have come by then. */
+    /**
+     * The parts of a multiget that has its final answer are not sent again, and late answers have come by
+     * then.
+     */
     void forgetEnded(Time before) {
         withdrawn.values().removeIf(f -> f.transmission.of.ended()
                 && f.sentAt.plus(f.transmission.timeOut).before(before));
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -27,7 +27,8 @@
     }
 
     /**
-     * Whether calls go alone for now: a connection that breaks takes all that is out on it, also what the node
+     * Whether calls go alone for now: a connection that breaks takes all that is out on it, also what the
+     * node
      * has nearly done, and doing that again is dearer to the node than one connection more.
      */
     boolean breaks(Time now) {
@@ -46,7 +47,8 @@
                 best = c;
             }
         }
-        if (best != null && best.silent() && (replacedAt == null || now.since(replacedAt).longerThan(REPLACE))) {
+        if (best != null && best.silent() && (replacedAt == null
+                || now.since(replacedAt).longerThan(REPLACE))) {
             replacedAt = now;
             return null;
         }
--- a/src/main/java/gladewing/router/Node.java
+++ b/src/main/java/gladewing/router/Node.java
@@ -11,6 +11,8 @@
     double sessions;
     double limit;
     int failures;
+    /** Calls in a row that it answered with an error, or turned away, and none that it served between. */
+    int errors;
     Time failedAt;
     Time unfitUntil;
     Time cutAt;
--- a/src/main/java/gladewing/router/Pattern.java
+++ b/src/main/java/gladewing/router/Pattern.java
@@ -17,7 +17,8 @@
  * @param own the budget of further transmissions that this row shares with its like, or null
  * @param all the budget of all rows together, or null
  */
-public record Pattern(int transmissions, Delay timeOut, double share, Span pause, double growth, Span pauseMost,
+public record Pattern(int transmissions, Delay timeOut, double share, Span pause, double growth,
+        Span pauseMost,
         double jitter, Delay copyAfter, Delay lastStart, double leastShare, RepeatBudget own,
         RepeatBudget all) {
 
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -23,6 +23,8 @@
     private static final int OVERFULL = 3;
     private static final int UNANSWERED = 2;
     private static final double CUT = 0.5;
+    /** So many in a row are no chance: where a node errs at once, each place would be free again at once. */
+    private static final int MANY_ERRORS = 3;
 
     /** The wire rounds weights; without this a whole answer could wait for a part that is not there. */
     private static final double ROUNDING = 0.00005;
@@ -304,7 +306,14 @@
     private boolean mayBegin(Multiget m, List<Part> unsent) {
         return m.firstSent != null || m.row.leastShare() < m.row.wholeShare()
                 || m.picks.stream().noneMatch(p -> asking(p.node))
-                && unsent.stream().noneMatch(this::onlyStrained);
+                && unsent.stream().noneMatch(this::onlyStrained)
+                && m.stepParts().stream().noneMatch(this::onlyErring);
+    }
+
+    /** Held by none that is fit, but by one that errs at once: its answer, or its end, is soon had. */
+    private boolean onlyErring(Part part) {
+        return !part.in && !hasFitNode(part) && fleet.holders(part).stream().anyMatch(n -> n.listed
+                && n.errors > 0);
     }
 
     private boolean onlyStrained(Part part) {
@@ -409,7 +418,8 @@
     /** Late or with errors between is better than no place: in a jam such nodes are passed over no more. */
     private boolean trusted(Node node) {
         return node.failures == 0
-                || crowded && node.heardAt != null && overdue.longerThan(now.since(node.heardAt));
+                || crowded && node.errors < MANY_ERRORS && node.heardAt != null
+                && overdue.longerThan(now.since(node.heardAt));
     }
 
     /** Sessions take places, but never the last one: the limit grows by what is sent, or not at all. */
@@ -521,7 +531,8 @@
         int strain = strain(part.sent.get(part.sent.size() - 1).node);
         Pattern pattern = part.of.pattern;
         Span wait = pattern.pauseAfter(part.sent.size(), 1).plus(lasting(pattern.lastStart()));
-        return part.out == 1 && now.plus(wait).before(part.of.endsAt) && fleet.holders(part).stream().anyMatch(n -> fit(n) && ready(n) && canServe(n, part)
+        return part.out == 1 && now.plus(wait).before(part.of.endsAt)
+                && fleet.holders(part).stream().anyMatch(n -> fit(n) && ready(n) && canServe(n, part)
                 && knownLight(n, strain));
     }
 
@@ -569,6 +580,7 @@
         if (outcome == Outcome.OK) {
             t.node.heardAt = now;
             t.node.newsAt = now;
+            t.node.errors = 0;
             t.node.unanswered = 0;
             succeeded(t, took);
             if (!m.ended && !t.part.in) {
@@ -581,6 +593,7 @@
         } else if (outcome != Outcome.WITHDRAWN && outcome != Outcome.NOT_SENT
                 && outcome != Outcome.TIMED_OUT) {
             failed(t);
+            t.node.errors++;
         }
     }
 
@@ -785,11 +798,20 @@
             if (!copies && mayBegin(m, unsent)) {
                 sendPicks(m);
             }
-            if (!copies && !now.plus(typical.times(2)).before(m.quotedAt)) {
+            boolean late = !now.plus(typical.times(2)).before(m.quotedAt);
+            boolean unbegun = m.firstSent == null && m.row.leastShare() >= m.row.wholeShare();
+            if (!copies && late) {
                 unsent.removeIf(this::hasFitNode);
                 cover(unsent, true, copies);
+            } else if (!copies && unbegun) {
+                // What only tries a doubtful part has not begun: the rest waits, and is not done in vain.
+                cover(new ArrayList<>(unsent.stream().filter(this::onlyErring).toList()), true, copies);
+                unsent.removeIf(p -> p.out > 0);
+                m.firstSent = null;
             }
-            left |= !unsent.isEmpty();
+            // What has not begun waits outside; it is a jam once no node is fit, or what was begun finds no
+            // place.
+            left |= unsent.stream().anyMatch(p -> !unbegun || !hasFitNode(p));
         }
         return left;
     }
--- a/src/main/java/gladewing/router/Settings.java
+++ b/src/main/java/gladewing/router/Settings.java
@@ -43,7 +43,8 @@
 
         /** The same, with no answer below that share. */
         Product least(double share) {
-            return share <= leastShare ? this : new Product(quoted, quotedStretch, limit, revenue, lateRevenue,
+            return share <= leastShare ? this : new Product(quoted, quotedStretch, limit, revenue,
+                    lateRevenue,
                     effect, repeatWindow, share, wholeShare, secondStep);
         }
     }
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -87,7 +87,8 @@
     }
 
     /**
-     * Routes and the rows that name them are taken over together, or neither is: a row must not be left without
+     * Routes and the rows that name them are taken over together, or neither is: a row must not be left
+     * without
      * its route, nor a route be sent again by another's row.
      */
     private static synchronized void reread(Config config, EventLoop thread, Routing routing,
--- a/src/main/java/gladewing/serve/Repeating.java
+++ b/src/main/java/gladewing/serve/Repeating.java
@@ -12,7 +12,8 @@
 import java.util.logging.Logger;
 
 /**
- * The rows that say how parts are sent again, in a running program: read anew off the loop's thread, and put in
+ * The rows that say how parts are sent again, in a running program: read anew off the loop's thread, and
+ * put in
  * between two passes. A class of its own, so that none of theirs is loaded where there are none.
  */
 final class Repeating {
--- a/src/main/java/gladewing/serve/Routing.java
+++ b/src/main/java/gladewing/serve/Routing.java
@@ -55,7 +55,8 @@
     }
 
     /**
-     * On the signal's thread; a file that can't be used costs one line, and `routes check` tells the rest. Null
+     * On the signal's thread; a file that can't be used costs one line, and `routes check` tells the rest.
+     * Null
      * then.
      */
     Table reread() {
--- a/src/test/java/gladewing/attempts/ProofTest.java
+++ b/src/test/java/gladewing/attempts/ProofTest.java
@@ -64,7 +64,8 @@
         site.withdrawals = false;
         tell("time-outs where nothing can be withdrawn", sheet(""));
         tell("more than the site's limit, and a share below the product's",
-                "[product sheet]\ntransmissions = 4\nleast-share = 0.4\n[product report]\nleast-share = 0.9\n");
+                "[product sheet]\ntransmissions = 4\nleast-share = 0.4\n[product report]\nleast-share = "
+                + "0.9\n");
         same("proof-rules");
     }
 
@@ -90,7 +91,8 @@
     @Test
     void everyFaultOfAFileAtOnce() throws IOException {
         tell("what can't be read", "[defualt]\nwait = 1s\n[product shete]\n[route korfu]\n[default]\n"
-                + "time-out = p95\ncopy-after = 3 usuals\njitter = 2\nwait = soon\nbudget-floor = 3\nretry = 2\n"
+                + "time-out = p95\ncopy-after = 3 usuals\njitter = 2\nwait = soon\nbudget-floor = "
+                + "3\nretry = 2\n"
                 + "[fleet]\ncapacity = 0\n[all]\nsplit = 0.5\n");
         site.routes = null;
         tell("a route without a table", "[route corfu]\nwait = 10ms\n");
@@ -99,7 +101,8 @@
 
     @Test
     void rowsComeFromRouteThenProductThenDefault() throws IOException {
-        Attempts attempts = check(FLEET + "[default]\nwait = 10ms\nbudget = 0.01\n[product report]\nwait = 20ms\n"
+        Attempts attempts = check(FLEET
+                + "[default]\nwait = 10ms\nbudget = 0.01\n[product report]\nwait = 20ms\n"
                 + "[route corfu]\ntime-out = 100ms\ntransmissions = 2\n").attempts();
         attempts.shown(null, "corfu").forEach(line -> told.append(line).append('\n'));
         attempts.proved().forEach(line -> told.append(line).append('\n'));
@@ -122,7 +125,8 @@
     @Test
     void anyFileIsSafeOrRefused() {
         Random random = new Random(11);
-        String[] values = {"never", "overdue", "1ms", "300ms", "2s", "10m", "3 usual", "1.5 usual, at most 1s",
+        String[] values = {"never", "overdue", "1ms", "300ms", "2s", "10m", "3 usual",
+                "1.5 usual, at most 1s",
             "p99", "p0", "0", "0.5", "1", "7", "-1", "", "NaN", "1e9", "none", "9999999999s", "usual"};
         String[] sections = {"default", "product report", "product sheet", "product note", "product booking",
             "route corfu", "all", "fleet", "other"};
@@ -133,7 +137,8 @@
                 text.append('[').append(sections[random.nextInt(sections.length)]).append("]\n");
                 for (int k = random.nextInt(4); k >= 0; k--) {
                     Key key = Key.values()[random.nextInt(Key.values().length)];
-                    text.append(key.word).append(" = ").append(values[random.nextInt(values.length)]).append('\n');
+                    text.append(key.word).append(" = "
+                            + "").append(values[random.nextInt(values.length)]).append('\n');
                 }
             }
             Attempts.Outcome outcome = check(text.toString());
--- a/src/test/java/gladewing/attempts/SearchTest.java
+++ b/src/test/java/gladewing/attempts/SearchTest.java
@@ -18,8 +18,10 @@
 
 /**
  * The proof against the module itself: every combination of fates of one part's transmissions, for many small
- * patterns and for times close to what they take, played through QueryRouter. What is called safe is never cut;
- * what is refused is cut in some history, but for a few that the proof refuses out of caution, which are counted.
+ * patterns and for times close to what they take, played through QueryRouter. What is called safe is never
+ * cut;
+ * what is refused is cut in some history, but for a few that the proof refuses out of caution, which are
+ * counted.
  */
 class SearchTest {
     private enum Fate { SILENT, ERROR, FULL, LATE }
@@ -184,7 +186,8 @@
         boolean proved = Attempts.check(file, site).attempts() != null;
         assertTrue(proved || file.faults().stream().allMatch(f -> f.what().contains("(rule 1)")),
                 file.faults().toString());
-        Pattern pattern = Attempts.check(IniFile.of("", "[fleet]\nparts = 1\ncapacity = 1000\n[product report]\n"
+        Pattern pattern = Attempts.check(IniFile.of("",
+                "[fleet]\nparts = 1\ncapacity = 1000\n[product report]\n"
                 + text), site).attempts().patterns().of(0, null);
         Settings one = new Settings(1, settings.tick(), settings.rules(), settings.allowed(),
                 new Settings.Shards(1, 1), settings.products(), List.of(), false, false, 1, 0);
--- a/src/test/java/gladewing/decisions/DecisionsTest.java
+++ b/src/test/java/gladewing/decisions/DecisionsTest.java
@@ -27,7 +27,8 @@
             told.append('\n');
         }
         for (Transmission t : orders.withdrawals) {
-            told.append("  withdraw ").append(t.of.id).append('.').append(t.part).append(" at ").append(t.node).append('\n');
+            told.append("  withdraw ").append(t.of.id).append('.').append(t.part).append(" at "
+                    + "").append(t.node).append('\n');
         }
         for (Transmission t : orders.transmissions) {
             sent.add(t);
@@ -48,7 +49,8 @@
 
     private void start(Settings.Effect effect) {
         Settings settings = new Settings(1, Span.ofMillis(5),
-                new Settings.Rules(Span.ZERO, 0.2, Span.ofMillis(10_000), 2, Span.ofMillis(1000), Span.ZERO, 0, 0),
+                new Settings.Rules(Span.ZERO, 0.2, Span.ofMillis(10_000), 2, Span.ofMillis(1000), Span.ZERO,
+                0, 0),
                 new Settings.Allowed(false, true, false, 3, 200, Span.ZERO), new Settings.Shards(2, 1),
                 List.of(new Settings.Product(Span.ofMillis(1000), 0, Span.ofMillis(3000), 1, 0, effect,
                         Span.ofMillis(600), 1, 1, 0)), List.of(), false, false, 1, 0);
@@ -84,7 +86,9 @@
         assertEquals(Trace.kept("facade.txt"), told.toString());
     }
 
-    /** What never ran is sent again, what may have run is given up at once; a gone node's name is free again. */
+    /**
+     * What never ran is sent again, what may have run is given up at once; a gone node's name is free again.
+     */
     @Test
     void onceOnlyByHowFarItCame() throws IOException {
         start(Settings.Effect.ONCE_ONLY);
@@ -99,8 +103,10 @@
         told("pick 2", decisions.pick(Trace.asked("2", 0, 1)));
         told("tick", decisions.tick());
         turn(20);
-        told("broken", decisions.report(sent.get(sent.size() - 1), End.BROKEN, Span.ofMillis(20), null, null));
-        told("c gone", decisions.report(false, List.of(new NodeTable.Line<>("c", 0, null, NodeTable.State.GONE))));
+        told("broken", decisions.report(sent.get(sent.size() - 1), End.BROKEN, Span.ofMillis(20), null,
+                null));
+        told("c gone", decisions.report(false, List.of(new NodeTable.Line<>("c", 0, null,
+                NodeTable.State.GONE))));
         told("tick", decisions.tick());
         assertEquals(Trace.kept("facade-once-only.txt"), told.toString());
     }
--- a/src/test/java/gladewing/frames/FramesTest.java
+++ b/src/test/java/gladewing/frames/FramesTest.java
@@ -55,11 +55,15 @@
     @Test
     void answersAndReports() throws IOException {
         StringBuilder told = new StringBuilder();
-        for (String rest : new String[] {"9b.3 ok 1840277719 -\nvalue", "9b.3 ok 1 -\n", "9b.3 err 1 inflight=7,util=0.61\n",
-            "9b.3 busy - pending=2,served_ps=3.5,cpu_share=0.5,other=9\n", "9b.3 ok 1 pending=x\nvalue\nwith lines",
-            "9b.3 ok 1 pending=-1\n", "9b.3 ok 1 pending=NaN\n", "9b.3 maybe 1 -\n", "9b.3 ok 1 -", "9b.3 ok -\n", " ok 1 -\n", ""}) {
+        for (String rest : new String[] {"9b.3 ok 1840277719 -\nvalue", "9b.3 ok 1 -\n",
+                "9b.3 err 1 inflight=7,util=0.61\n",
+            "9b.3 busy - pending=2,served_ps=3.5,cpu_share=0.5,other=9\n",
+            "9b.3 ok 1 pending=x\nvalue\nwith lines",
+            "9b.3 ok 1 pending=-1\n", "9b.3 ok 1 pending=NaN\n", "9b.3 maybe 1 -\n", "9b.3 ok 1 -",
+            "9b.3 ok -\n", " ok 1 -\n", ""}) {
             told.append(rest.replace("\n", "|")).append(" -> ")
-                    .append(String.valueOf(Answer.read(rest.getBytes(StandardCharsets.UTF_8))).replace("\n", "|")).append('\n');
+                    .append(String.valueOf(Answer.read(rest.getBytes(StandardCharsets.UTF_8))).replace("\n",
+                    "|")).append('\n');
         }
         assertEquals(Trace.kept("answers.txt"), told.toString());
     }
--- a/src/test/java/gladewing/http/MessageReaderTest.java
+++ b/src/test/java/gladewing/http/MessageReaderTest.java
@@ -11,7 +11,9 @@
 import org.junit.jupiter.api.Test;
 
 class MessageReaderTest {
-    /** Each case is what one connection receives; a backslash ends a line of the kept file that has no CRLF. */
+    /**
+     * Each case is what one connection receives; a backslash ends a line of the kept file that has no CRLF.
+     */
     @Test
     void theSameHoweverTheBytesAreCut() throws IOException {
         String[] cases = Trace.kept("http-in.txt").split("(?m)^== ");
@@ -37,13 +39,19 @@
         String post = "POST / HTTP/1.1\r\n";
         int most = MessageReader.MOST_BODY;
         assertEquals("POST / HTTP/1.1, " + most + " bytes\n",
-                read((post + "Content-Length: " + most + "\r\n\r\n" + "x".repeat(most)).getBytes(), 4000, null));
-        assertEquals("unusable 413\n", read((post + "Content-Length: " + (most + 1) + "\r\n\r\n").getBytes(), 50, null));
-        assertEquals("unusable 413\n", read((post + "Content-Length: 99999999999999999999\r\n\r\n").getBytes(), 50, null));
-        assertEquals("unusable 413\n", read((post + "Transfer-Encoding: chunked\r\n\r\n" + "8000\r\n" + "x".repeat(32768)
+                read((post + "Content-Length: " + most + "\r\n\r\n" + "x".repeat(most)).getBytes(), 4000,
+                null));
+        assertEquals("unusable 413\n", read((post + "Content-Length: " + (most + 1) + "\r\n\r\n").getBytes(),
+                50, null));
+        assertEquals("unusable 413\n", read((post
+                + "Content-Length: 99999999999999999999\r\n\r\n").getBytes(), 50, null));
+        assertEquals("unusable 413\n", read((post + "Transfer-Encoding: chunked\r\n\r\n" + "8000\r\n"
+                + "x".repeat(32768)
                 + "\r\n8001\r\n").getBytes(), 4000, null));
-        assertEquals("unusable 431\n", read((post + "A: " + "x".repeat(MessageReader.MOST_HEAD)).getBytes(), 900, null));
-        assertEquals("unusable 431\n", read(("GET /" + "x".repeat(MessageReader.MOST_HEAD)).getBytes(), 900, null));
+        assertEquals("unusable 431\n", read((post + "A: " + "x".repeat(MessageReader.MOST_HEAD)).getBytes(),
+                900, null));
+        assertEquals("unusable 431\n", read(("GET /" + "x".repeat(MessageReader.MOST_HEAD)).getBytes(), 900,
+                null));
     }
 
     private static String read(byte[] bytes, int step, Random random) {
@@ -60,7 +68,8 @@
                 told.append(reader.startLine()).append(", ").append(body.length < 40 && body.length > 0
                         ? new String(body, StandardCharsets.ISO_8859_1) : body.length + " bytes")
                         .append(reader.keepsAlive() ? "" : ", then it closes")
-                        .append(reader.header("x-note") == null ? "" : ", note " + reader.header("x-note")).append('\n');
+                        .append(reader.header("x-note") == null ? "" : ", note "
+                        + reader.header("x-note")).append('\n');
                 reader.next();
                 progress = reader.read(in);
             }
--- a/src/test/java/gladewing/loop/LoopTest.java
+++ b/src/test/java/gladewing/loop/LoopTest.java
@@ -16,7 +16,8 @@
 import org.junit.jupiter.api.Test;
 
 class LoopTest implements Loop.Turns {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private Loop loop;
--- a/src/test/java/gladewing/nodes/FlightTest.java
+++ b/src/test/java/gladewing/nodes/FlightTest.java
@@ -17,6 +17,7 @@
         assertEquals(End.NOT_WRITTEN, Flight.broken(frame));
         frame.setSuccess();
         assertEquals(End.BROKEN, Flight.broken(frame));
-        assertEquals(End.NOT_WRITTEN, Flight.broken(channel.newFailedFuture(new java.io.IOException("reset"))));
+        assertEquals(End.NOT_WRITTEN,
+                Flight.broken(channel.newFailedFuture(new java.io.IOException("reset"))));
     }
 }
--- a/src/test/java/gladewing/router/PatternTest.java
+++ b/src/test/java/gladewing/router/PatternTest.java
@@ -16,9 +16,11 @@
         return Span.ofMillis(millis);
     }
 
-    private static Pattern pattern(int transmissions, double timeOut, double share, double pause, double jitter,
+    private static Pattern pattern(int transmissions, double timeOut, double share, double pause,
+            double jitter,
             Delay copyAfter, double lastStart, RepeatBudget own, RepeatBudget all) {
-        return new Pattern(transmissions, timeOut == 0 ? Delay.NEVER : Delay.fixed(ms(timeOut)), share, ms(pause),
+        return new Pattern(transmissions, timeOut == 0 ? Delay.NEVER : Delay.fixed(ms(timeOut)), share,
+                ms(pause),
                 2, ms(10_000), jitter, copyAfter, Delay.fixed(ms(lastStart)), 0, own, all);
     }
 
@@ -32,7 +34,8 @@
         trace.cells = 1;
         trace.reach = 1;
         trace.pattern = pattern(3, 100, 1, 0, 0, Delay.NEVER, 0, null, null);
-        trace.start().nodes(0, 0, 0).say("two time out, each answers just after it; the third may take its time");
+        trace.start().nodes(0, 0,
+                0).say("two time out, each answers just after it; the third may take its time");
         Multiget m = trace.take(3000, 0);
         trace.to(115);
         ended(m, 0, Outcome.WITHDRAWN);
@@ -59,7 +62,8 @@
         trace.cells = 1;
         trace.reach = 1;
         trace.pattern = pattern(3, 0, 0.5, 50, 0, Delay.NEVER, 200, null, null);
-        trace.start().nodes(0, 0, 0, 0, 0, 0, 0).say("half of the 600 ms that are left, then half of what is left then");
+        trace.start().nodes(0, 0, 0, 0, 0, 0,
+                0).say("half of the 600 ms that are left, then half of what is left then");
         Multiget m = trace.take(600, 0);
         trace.to(315);
         ended(m, 0, Outcome.WITHDRAWN);
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -296,7 +296,8 @@
         trace.router().probed(1, Outcome.OK, new Load(11, Double.NaN, 100, Double.NaN, 0.5));
         trace.to(1200);
         trace.taken(1).clientLeft();
-        trace.to(1400).say("the report is a quoted time old: the node is asked anew, tells of none, and both parts go");
+        trace.to(1400).say("the report is a quoted time old: the node is asked anew, tells of none, and "
+                + "both parts go");
         trace.take(3000, 0, 1);
         trace.to(1405);
         trace.router().probed(0, Outcome.OK, new Load(0, Double.NaN, 100, Double.NaN, 0.5));
@@ -363,4 +364,47 @@
         trace.to(500);
         trace.matches("budget-together");
     }
+
+    @Test
+    void whatOnlyAnErringNodeHoldsIsTriedFirst() throws IOException {
+        trace.cells = 2;
+        trace.reach = 1;
+        trace.perPart = 6;
+        trace.start().nodes(0, 1);
+        Multiget first = trace.take(3000, 0);
+        trace.to(10);
+        first.outcome(0, 0, Outcome.ERROR, Span.ofMillis(10), null);
+        trace.to(11).say("the only holder of shard 0 errs: tried at once, and the rest is not done in vain");
+        Multiget m = trace.take(3000, 0, 1);
+        trace.to(20);
+        m.outcome(0, 0, Outcome.ERROR, Span.ofMillis(5), null);
+        trace.to(30);
+        m.outcome(0, 1, Outcome.OK, Span.ofMillis(5), null);
+        trace.to(40);
+        first.clientLeft();
+        m.clientLeft();
+        trace.matches("erring-alone");
+    }
+
+    @Test
+    void aJamTrustsNoNodeThatOnlyErrs() throws IOException {
+        trace.cells = 1;
+        trace.reach = 1;
+        trace.start().nodes(0);
+        Multiget[] all = new Multiget[12];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = trace.take(3000, 0);
+        }
+        trace.to(20);
+        ok(all[0], 0, 0, 20);
+        trace.to(21).say("heard just now, and parts are held: a jam trusts it through two errors in a "
+                + "row, not more");
+        for (int i = 1; i < 6; i++) {
+            if (all[i].transmissions(0) > 0) {
+                all[i].outcome(0, 0, Outcome.ERROR, Span.ofMillis(1), null);
+            }
+            trace.to(21 + i);
+        }
+        trace.matches("erring-jam");
+    }
 }
--- a/src/test/java/gladewing/serve/AttemptsServeTest.java
+++ b/src/test/java/gladewing/serve/AttemptsServeTest.java
@@ -124,7 +124,8 @@
         assertEquals("", loaded());
         jvm.clear();
         Path bad = folder.resolve("bad.ini");
-        Files.writeString(bad, "[product order]\ntime-out = 1s\ncopy-after = p95\n[product sheet]\ntime-out = 2s\n"
+        Files.writeString(bad,
+                "[product order]\ntime-out = 1s\ncopy-after = p95\n[product sheet]\ntime-out = 2s\n"
                 + "client-time = 1s\n[route brisk]\nwait = 1s\n");
         Process refused = run(config, folder, List.of(), List.of("--attempts", bad.toString()));
         String said = new String(refused.getInputStream().readAllBytes());
@@ -134,8 +135,10 @@
         refused = run(config, folder, List.of(), List.of("--attempts", bad.toString()));
         said = new String(refused.getInputStream().readAllBytes());
         assertEquals(1, refused.waitFor());
-        for (String part : List.of("[product order] time-out: order: once-only", "(rule 2)", "[product order] "
-                + "copy-after: order: the site forbids", "[product sheet] time-out", "(rule 1)", "[fleet] parts")) {
+        for (String part : List.of("[product order] time-out: order: once-only", "(rule 2)",
+                "[product order] "
+                + "copy-after: order: the site forbids", "[product sheet] time-out", "(rule 1)",
+                "[fleet] parts")) {
             assertTrue(said.contains(part), part + " in " + said);
         }
     }
