--- a/src/main/java/gladewing/attempts/Attempts.java
+++ b/src/main/java/gladewing/attempts/Attempts.java
@@ -78,6 +78,7 @@
     }
 
     private void known() {
+        Set<String> routes = site.routes() == null ? Set.of() : new TreeSet<>(site.routes().keySet());
         String[] keys = java.util.Arrays.stream(Key.values()).map(k -> k.word).toArray(String[]::new);
         if (file.sections().size() > MOST_SECTIONS) {
             file.fault("", "", file.sections().size() + " sections, wanted: at most " + MOST_SECTIONS);
@@ -98,8 +99,7 @@
                 if (site.routes() == null) {
                     section.fault("", "no table of routes is named, wanted: one with this route beside it");
                 } else {
-                    named(section, section.name.substring(ROUTE.length()),
-                            new TreeSet<>(site.routes().keySet()), "route");
+                    named(section, section.name.substring(ROUTE.length()), routes, "route");
                 }
             } else if (section.name.equals(DEFAULT)) {
                 section.only(keys);
--- a/src/test/java/gladewing/attempts/ProofTest.java
+++ b/src/test/java/gladewing/attempts/ProofTest.java
@@ -4,11 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladewing.router.Pattern;
+import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.router.Trace;
 import gladewing.settings.IniFile;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 /** What is safe and what is refused, at both sides of each bound. */
@@ -121,6 +128,26 @@
         assertEquals(0, later.of(1, null).own().used(new Time(20)));
     }
 
+    /**
+     * The operators' page promises that its examples can be used as they stand, and so does the example file.
+     */
+    @Test
+    void theExamplesOfThePageAreSafe() throws IOException {
+        AttemptSite known = new AttemptSite(List.of("clinic-report", "patient-sheet", "note", "booking"),
+                site.settings(), Span.ofMillis(100), Map.of("front-desk", Set.of(0)));
+        String page = Files.readString(Path.of("docs/attempts-operators.md"));
+        String[] examples = page.substring(page.indexOf("## Three examples"), page.indexOf("## Reading"))
+                .split("\\*\\*[A-Z]");
+        assertEquals(4, examples.length);
+        for (int i = 1; i < examples.length; i++) {
+            String text = examples[i].lines().filter(line -> line.startsWith("    ")).map(String::strip)
+                    .collect(Collectors.joining("\n"));
+            assertEquals(List.of(), Attempts.check(IniFile.of("page", text), known).faults());
+        }
+        site.limit = 5000;
+        assertEquals(List.of(), Attempts.check(IniFile.read("deploy/attempts.ini"), site.site()).faults());
+    }
+
     /** Whatever a file holds, it is judged: never an exception, never an answer that is neither. */
     @Test
     void anyFileIsSafeOrRefused() {
