--- a/src/main/java/gladewing/cli/Commands.java
+++ b/src/main/java/gladewing/cli/Commands.java
@@ -1,5 +1,7 @@
 package gladewing.cli;
 
+import gladewing.config.Config;
+import gladewing.routes.Site;
 import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
@@ -41,6 +43,12 @@
         throw new ParameterException(spec.commandLine(), "Missing a subcommand");
     }
 
+    /** What a site's configuration says that tables are held against. */
+    static Site site(Config read) {
+        return new Site(read.products(), read.settings().products(), read.tenants(), read.shards(),
+                read.settings().routers());
+    }
+
     /** What someone named can't be used; the text tells them why. */
     static final class Refused extends RuntimeException {
         private static final long serialVersionUID = 1;
--- a/src/main/java/gladewing/cli/RoutesCommand.java
+++ b/src/main/java/gladewing/cli/RoutesCommand.java
@@ -50,9 +50,7 @@
             return null;
         }
         try {
-            Config read = Config.read(config);
-            return new Site(read.products(), read.settings().products(), read.tenants(), read.shards(),
-                    read.settings().routers());
+            return Commands.site(Config.read(config));
         } catch (Unusable bad) {
             throw new Commands.Refused(bad.getMessage());
         }
--- a/src/main/java/gladewing/cli/SettingsCommand.java
+++ b/src/main/java/gladewing/cli/SettingsCommand.java
@@ -55,8 +55,7 @@
         }
         Map<String, Set<Integer>> served = null;
         if (routes != null) {
-            Site held = new Site(site.products(), site.settings().products(), site.tenants(), site.shards(),
-                    site.settings().routers());
+            Site held = Commands.site(site);
             RouteFile.Outcome outcome = RouteFile.check(IniFile.read(routes), held);
             Table table = outcome.table();
             if (table == null) {
