--- a/src/test/java/gladewing/serve/LiveNode.java
+++ b/src/test/java/gladewing/serve/LiveNode.java
@@ -10,6 +10,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -155,10 +156,12 @@
         listener.close();
         synchronized (sockets) {
             for (Socket socket : sockets) {
-                if (!socket.isClosed()) {
+                try {
                     socket.setSoLinger(true, 0);
-                    socket.close();
+                } catch (SocketException closed) {
+                    // Its own thread has closed it, maybe in this instant.
                 }
+                socket.close();
             }
         }
     }
