Versions from a control service: storage, decisions, protocol and their place in serve

Limits of a table that is read anew are found by name: 10,000 routes cost no search of each among all.

--- a/src/main/java/gladewing/Main.java
+++ b/src/main/java/gladewing/Main.java
@@ -4,6 +4,7 @@
 import gladewing.cli.Commands;
 import gladewing.serve.Program;
 import java.io.IOException;
+import java.util.List;
 
 /** The command line: one subcommand a way of running. */
 public final class Main {
@@ -14,26 +15,31 @@
         String routes = option(args, "--routes");
         String attempts = option(args, "--attempts");
         String live = option(args, "--live");
-        int known = 1 + (routes == null ? 0 : 2) + (attempts == null ? 0 : 2) + (live == null ? 0 : 2);
+        String control = option(args, "--control");
+        int known = 1;
+        for (String file : new String[] {routes, attempts, live, control}) {
+            known += file == null ? 0 : 2;
+        }
         if (command.equals("benchlink") && args.length == (attempts == null ? 1 : 3)
                 && args.length == known) {
             System.exit(new BenchLink(System.in, System.out, System.err, attempts).run());
         }
         if (command.equals("serve") && args.length == known) {
             System.exit(Program.run(System.getenv("RELAY_CONFIG"),
-                    new Program.Files(routes, attempts, live), System.err));
+                    new Program.Files(routes, attempts, live, control), System.err));
         }
-        if (command.equals("routes") || command.equals("expr") || command.equals("settings")) {
+        if (List.of("routes", "expr", "settings", "control", "state").contains(command)) {
             System.exit(Commands.run(args, System.out, System.err));
         }
         System.err.println("usage: java -jar gladewing.jar "
-                + "benchlink [--attempts FILE] | serve [--routes FILE] [--attempts FILE] [--live FILE] | "
-                + "routes | "
-                + "settings | expr");
+                + "benchlink [--attempts FILE] | serve [--routes FILE] [--attempts FILE] [--live FILE] "
+                + "[--control FILE] | routes | settings | control | state | expr");
         System.err.println("  benchlink   decide for the bench, whose wire is on standard input/output\n"
                 + "  serve       be a router on sockets; RELAY_CONFIG names its configuration\n"
                 + "  routes      check, explain and replay a table of routes; routes --help\n"
                 + "  settings    check and show how parts are sent again; settings --help\n"
+                + "  control     make, check and compare versions; control --help\n"
+                + "  state       show, verify and recover a folder of versions; state --help\n"
                 + "  expr        try an expression; expr --help");
         System.exit(2);
     }
--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -93,6 +93,12 @@
                 return;
             }
             keep = usable && message.keepsAlive();
+            String page = usable ? clients.page(message) : null;
+            if (page != null) {
+                answer(RequestReader.READY, "", page);
+                message.next();
+                continue;
+            }
             int status = usable ? clients.reader.read(message) : message.status();
             if (status == 0 && !clients.begun(clients.reader.id())) {
                 turnDown(Responses.CONFLICT);
@@ -121,6 +127,11 @@
             return;
         }
         int product = routed == null ? reader.product() : routed.product(reader.product());
+        if (clients.closed(product)) {
+            clients.ended(reader.id());
+            answer(Responses.UNAVAILABLE, "", "");
+            return;
+        }
         int tenant = routed == null ? reader.tenant() : routed.tenant(reader.tenant());
         open = reader.exchange(this, left, product, tenant, clients.pattern(product, routed));
         clients.asks.asked(open);
--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -16,13 +16,16 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /** Listens for clients, and keeps their connections within their share of the descriptors. */
 public final class Clients {
     private static final Logger LOG = Logger.getLogger(Clients.class.getName());
 
+    private static final String PAGE = "/health/version";
     private static final Span CHECK = Span.ofMillis(200);
 
     final Loop loop;
@@ -37,6 +40,9 @@
     private PatternRows rows;
     /** Null where no connection is ever taken over. */
     private Upgrades upgrades;
+    /** Null where no page is shown but whether this router is ready. */
+    private Supplier<String> page;
+    private List<Integer> closed = List.of();
     /** Taken over: these have limits of their own, and take nobody's place here. */
     private final Set<ClientConnection> upgraded = new LinkedHashSet<>();
     private Channel listener;
@@ -70,9 +76,9 @@
         return new ClientConnection(this);
     }
 
-    /** From now on requests are routed by it; what was taken before stays as it was routed. */
+    /** From now on requests are routed by it, or by none where it is null; what was taken before stays as it was routed. */
     public void route(Table table) {
-        gate = new Gate(table, gate);
+        gate = table == null ? null : new Gate(table, gate);
     }
 
     /** From now on multigets that are taken are sent again by these rows. */
@@ -86,6 +92,25 @@
                 : rows.of(product, routed == null || routed.route() == null ? null : routed.route().name);
     }
 
+    /** Shown to whoever asks for PAGE. */
+    public void show(Supplier<String> what) {
+        page = what;
+    }
+
+    /** Null where the request asks for none, or there is none. */
+    String page(MessageReader request) {
+        return page != null && request.startLine().startsWith("GET " + PAGE + " ") ? page.get() : null;
+    }
+
+    /** From now on no multiget of these products (by index) is taken; open ones go on. */
+    public void close(List<Integer> products) {
+        closed = products;
+    }
+
+    boolean closed(int product) {
+        return !closed.isEmpty() && closed.contains(product);
+    }
+
     public void upgradeBy(Upgrades by) {
         upgrades = by;
     }
--- /dev/null
+++ b/src/main/java/gladewing/control/Candidate.java
@@ -0,0 +1,19 @@
+package gladewing.control;
+
+import gladewing.attempts.Patterns;
+import gladewing.live.LiveSettings;
+import gladewing.routes.Table;
+import gladewing.versions.Kind;
+import gladewing.versions.Manifest;
+import gladewing.versions.Needs;
+import java.util.Map;
+
+/**
+ * All that one version makes, ready to be put in force between two passes.
+ *
+ * @param manifest null for the files that the router was started with
+ * @param texts of the kinds that the manifest states
+ * @param table null where nothing is routed; patterns, live likewise
+ */
+public record Candidate(Manifest manifest, Map<Kind, String> texts, Table table, Patterns patterns,
+        LiveSettings live, RouterSettings settings, Needs needs) { }
--- /dev/null
+++ b/src/main/java/gladewing/control/Router.java
@@ -0,0 +1,22 @@
+package gladewing.control;
+
+import gladewing.versions.Ends;
+import gladewing.versions.Needs;
+
+/** What versions are put in force in, within a pass of the loop. */
+public interface Router {
+    /** In one step, between two multigets: what is open goes on as it began. */
+    void putInForce(Candidate candidate);
+
+    /** All so far. */
+    Ends ends();
+
+    /** Null where a version with these needs may begin now, else why not. */
+    String unsafe(Needs needs);
+
+    /** The list of data nodes as last known, as discovery gives it; null where none is known. */
+    String nodes();
+
+    /** Counts up with each change of that list. */
+    long nodesChanged();
+}
--- /dev/null
+++ b/src/main/java/gladewing/control/Wire.java
@@ -0,0 +1,195 @@
+package gladewing.control;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import gladewing.versions.Answer;
+import gladewing.versions.Edit;
+import gladewing.versions.Kind;
+import gladewing.versions.Manifest;
+import gladewing.versions.Stage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** The messages of the control protocol, docs/control.md: what comes is read, held against the schema, and typed. */
+public final class Wire {
+    private static final int DEEPEST = 16;
+    private static final int MOST_TOLD = 3;
+
+    private final ObjectMapper json = new ObjectMapper();
+    private final JsonSchema schema;
+
+    /** Texts in a message may be so long. */
+    public Wire(int longest) {
+        json.getFactory().setStreamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST)
+                .maxStringLength(longest).maxNumberLength(20).build());
+        json.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+        json.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+        try (InputStream in = Wire.class.getResourceAsStream("message.schema.json")) {
+            schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
+        } catch (IOException gone) {
+            throw new UncheckedIOException(gone);
+        }
+    }
+
+    /** What a message is: one of these, all others null. */
+    public record Message(Push push, Withdrawal withdrawal, Bad bad) {
+        /** One that only shows that the other side is there. */
+        public boolean beat() {
+            return push == null && withdrawal == null && bad == null;
+        }
+    }
+
+    /** The text of a kind that comes with a version: whole, or as edits against the text of a digest. */
+    public record Body(String whole, String against, List<Edit> edits) { }
+
+    public record Push(Manifest manifest, Map<Kind, Body> bodies) { }
+
+    public record Withdrawal(String site, long epoch, long number, String key, String mac) { }
+
+    /** Epoch and number are -1 where they can't be told. */
+    public record Bad(Stage stage, String reason, long epoch, long number) { }
+
+    /** Never throws for what comes. */
+    public Message read(byte[] utf8) {
+        JsonNode node;
+        try {
+            // Jackson lets some malformed UTF-8 pass.
+            String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(utf8)).toString();
+            node = json.readTree(text);
+        } catch (CharacterCodingException bad) {
+            return bad(Stage.READABLE, "not UTF-8", null);
+        } catch (JsonProcessingException bad) {
+            return bad(Stage.READABLE, "no JSON: " + bad.getOriginalMessage(), null);
+        }
+        if (node == null || !node.isObject()) {
+            return bad(Stage.READABLE, "no JSON object", null);
+        }
+        List<ValidationMessage> faults = new ArrayList<>(schema.validate(node));
+        if (!faults.isEmpty()) {
+            String told = faults.stream().map(ValidationMessage::getMessage).sorted().limit(MOST_TOLD)
+                    .collect(Collectors.joining("; "));
+            return bad(Stage.SCHEMA, told + (faults.size() > MOST_TOLD ? " and " + (faults.size() - MOST_TOLD)
+                    + " more" : ""), node);
+        }
+        return switch (node.get("type").asText()) {
+            case "set" -> push(node);
+            case "withdraw" -> new Message(null, new Withdrawal(node.get("site").asText(),
+                    node.get("epoch").asLong(), node.get("number").asLong(), node.get("key").asText(),
+                    node.get("mac").asText()), null);
+            default -> new Message(null, null, null);
+        };
+    }
+
+    private static Message bad(Stage stage, String reason, JsonNode node) {
+        boolean told = node != null && node.path("epoch").canConvertToLong()
+                && node.path("number").canConvertToLong();
+        return new Message(null, null, new Bad(stage, reason, told ? node.get("epoch").asLong() : -1,
+                told ? node.get("number").asLong() : -1));
+    }
+
+    private static Message push(JsonNode node) {
+        Manifest manifest = manifest(node);
+        if (manifest.entries().size() < node.get("entries").size()) {
+            return bad(Stage.SCHEMA, "a kind comes twice in entries", node);
+        }
+        Map<Kind, Body> bodies = new EnumMap<>(Kind.class);
+        for (JsonNode body : node.get("bodies")) {
+            Kind kind = Kind.of(body.get("kind").asText());
+            List<Edit> edits = new ArrayList<>();
+            for (JsonNode edit : body.path("edits")) {
+                List<String> put = new ArrayList<>();
+                edit.get("put").forEach(line -> put.add(line.asText()));
+                edits.add(new Edit(edit.get("line").asInt(), edit.get("cut").asInt(), put));
+            }
+            Body read = body.has("whole") ? new Body(body.get("whole").asText(), null, List.of())
+                    : new Body(null, body.get("against").asText(), edits);
+            if (bodies.put(kind, read) != null || manifest.digest(kind) == null) {
+                return bad(Stage.SCHEMA, "bodies: " + kind.word + " once at most, and only with an entry", node);
+            }
+        }
+        return new Message(new Push(manifest, bodies), null, null);
+    }
+
+    private static Manifest manifest(JsonNode node) {
+        Map<Kind, Manifest.Entry> entries = new EnumMap<>(Kind.class);
+        for (JsonNode entry : node.get("entries")) {
+            entries.put(Kind.of(entry.get("kind").asText()), new Manifest.Entry(entry.get("number").asLong(),
+                    entry.get("digest").asText()));
+        }
+        return new Manifest(node.get("site").asText(), node.get("epoch").asLong(), node.get("number").asLong(),
+                node.path("expires").asLong(0), entries, node.get("key").asText(), node.get("mac").asText());
+    }
+
+    /** A message for a version, on one line; what has no body here comes without one. */
+    public String set(Manifest m, Map<Kind, Body> bodies) {
+        ObjectNode node = object(m);
+        ArrayNode all = node.putArray("bodies");
+        bodies.forEach((kind, body) -> {
+            ObjectNode to = all.addObject().put("kind", kind.word);
+            if (body.whole() != null) {
+                to.put("whole", body.whole());
+                return;
+            }
+            to.put("against", body.against());
+            ArrayNode edits = to.putArray("edits");
+            for (Edit edit : body.edits()) {
+                ArrayNode put = edits.addObject().put("line", edit.line()).put("cut", edit.cut()).putArray("put");
+                edit.put().forEach(put::add);
+            }
+        });
+        return node.toString();
+    }
+
+    ObjectNode object(Manifest m) {
+        ObjectNode node = json.createObjectNode().put("type", "set").put("site", m.site()).put("epoch", m.epoch())
+                .put("number", m.number());
+        if (m.expires() > 0) {
+            node.put("expires", m.expires());
+        }
+        ArrayNode entries = node.putArray("entries");
+        m.entries().forEach((kind, entry) -> entries.addObject().put("kind", kind.word)
+                .put("number", entry.number()).put("digest", entry.digest()));
+        return node.put("key", m.key()).put("mac", m.mac());
+    }
+
+    /** What the control service is told: answers, and what is in force. */
+    public String answers(String router, Manifest inForce, List<Answer> answers) {
+        ObjectNode node = json.createObjectNode().put("router", router);
+        node.put("in_force", inForce == null ? "" : inForce.id());
+        ArrayNode all = node.putArray("answers");
+        for (Answer a : answers) {
+            all.addObject().put("epoch", a.epoch()).put("number", a.number()).put("answer", a.taken() ? "ack"
+                    : "nack").put("stage", a.stage().word()).put("reason", a.reason()).put("place", a.place())
+                    .put("lasts", a.lasts());
+        }
+        return node.toString();
+    }
+
+    ObjectMapper json() {
+        return json;
+    }
+
+    /** Of an object that object() made; what else it holds is not looked at. */
+    static Manifest kept(JsonNode node) {
+        return node == null || node.isNull() ? null : manifest(node);
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/control/Workshop.java
@@ -0,0 +1,166 @@
+package gladewing.control;
+
+import gladewing.attempts.AttemptSite;
+import gladewing.attempts.Attempts;
+import gladewing.config.Config;
+import gladewing.live.LiveSettings;
+import gladewing.routes.RouteFile;
+import gladewing.routes.Site;
+import gladewing.routes.Table;
+import gladewing.settings.Fault;
+import gladewing.settings.IniFile;
+import gladewing.versions.Edit;
+import gladewing.versions.Keys;
+import gladewing.versions.Kind;
+import gladewing.versions.Manifest;
+import gladewing.versions.Needs;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Makes what a version says of its texts, off the loop's thread: each kind by its own checker, then all together. */
+public final class Workshop {
+    private final Config config;
+    private final Site site;
+    /** By kind, the text of the file that the router was started with; none where it was started without. */
+    private final Map<Kind, String> base;
+    /** Descriptors that sessions may take; negative where this router keeps none. */
+    private final int descriptors;
+
+    public Workshop(Config config, Map<Kind, String> base, int descriptors) {
+        this.config = config;
+        this.base = new EnumMap<>(Kind.class);
+        this.base.putAll(base);
+        this.descriptors = descriptors;
+        site = new Site(config.products(), config.settings().products(), config.tenants(), config.shards(),
+                config.settings().routers());
+    }
+
+    /** Either the texts or why they can't be had. */
+    public record Texts(Map<Kind, String> byKind, String fault) {
+        private static Texts none(String fault) {
+            return new Texts(null, fault);
+        }
+    }
+
+    /** Either a candidate or every fault of its kinds. */
+    public record Made(Candidate candidate, List<Fault> faults) { }
+
+    /**
+     * The texts that a manifest's digests name: from its bodies, from edits against a text that is known, or one that
+     * is known already.
+     *
+     * @param known by digest
+     * @param longest bytes of all texts together
+     */
+    public static Texts texts(Manifest manifest, Map<Kind, Wire.Body> bodies, Map<String, String> known,
+            long longest) {
+        Map<Kind, String> texts = new EnumMap<>(Kind.class);
+        long size = 0;
+        for (Kind kind : manifest.entries().keySet()) {
+            Wire.Body body = bodies.get(kind);
+            String digest = manifest.digest(kind);
+            String text;
+            if (body == null) {
+                text = known.get(digest);
+                if (text == null) {
+                    return Texts.none(kind.word + ": no body, and no text of digest " + digest + " is held here");
+                }
+            } else if (body.whole() != null) {
+                text = body.whole();
+            } else {
+                String before = known.get(body.against());
+                if (before == null) {
+                    return Texts.none(kind.word + ": a change against a text that is not held here, wanted: the whole");
+                }
+                text = Edit.apply(before, body.edits());
+                if (text == null) {
+                    return Texts.none(kind.word + ": the edits do not fit the text that they are against");
+                }
+            }
+            size += text.length();
+            if (size > longest) {
+                return Texts.none("its texts are longer than " + longest + " together");
+            }
+            if (!Keys.digest(text).equals(digest)) {
+                return Texts.none(kind.word + ": the text is not that of the digest that was signed");
+            }
+            texts.put(kind, text);
+        }
+        return new Texts(texts, null);
+    }
+
+    /** The texts of the start, by digest. */
+    public Map<String, String> known() {
+        return byDigest(base);
+    }
+
+    /** By digest, what later changes may be against. */
+    public static Map<String, String> byDigest(Map<Kind, String> texts) {
+        Map<String, String> known = new HashMap<>();
+        texts.values().forEach(text -> known.put(Keys.digest(text), text));
+        return known;
+    }
+
+    /** The manifest is null for the files of the start. */
+    public Made make(Manifest manifest, Map<Kind, String> texts) {
+        Map<Kind, IniFile> files = new EnumMap<>(Kind.class);
+        for (Kind kind : Kind.values()) {
+            String text = texts.getOrDefault(kind, base.get(kind));
+            if (text != null) {
+                files.put(kind, IniFile.of(kind.word, text));
+            }
+        }
+        RouterSettings settings = files.containsKey(Kind.SETTINGS) ? RouterSettings.read(files.get(Kind.SETTINGS),
+                config.products()) : RouterSettings.NONE;
+        List<Fault> faults = new ArrayList<>();
+        Table table = null;
+        if (files.containsKey(Kind.ROUTES)) {
+            RouteFile.Outcome made = RouteFile.check(files.get(Kind.ROUTES), site);
+            table = made.table();
+            faults.addAll(made.faults());
+        }
+        Attempts attempts = null;
+        // Rows name routes: without a table that holds they can't be judged.
+        if (files.containsKey(Kind.ATTEMPTS) && (table != null || !files.containsKey(Kind.ROUTES))) {
+            Attempts.Outcome made = Attempts.check(files.get(Kind.ATTEMPTS), new AttemptSite(config.products(),
+                    config.settings(), config.connections().connectTimeOut(), table == null ? null
+                    : table.served(site)));
+            attempts = made.attempts();
+            faults.addAll(made.faults());
+        }
+        LiveSettings live = live(files.get(Kind.LIVE), texts.containsKey(Kind.LIVE));
+        for (Kind kind : List.of(Kind.SETTINGS, Kind.LIVE)) {
+            if (files.containsKey(kind)) {
+                faults.addAll(files.get(kind).faults());
+            }
+        }
+        if (!faults.isEmpty()) {
+            return new Made(null, faults);
+        }
+        Needs needs = new Needs(table == null ? Set.of() : table.shards(), settings.nodes(),
+                settings.closed(), live == null ? -1 : live.sessions());
+        return new Made(new Candidate(manifest, texts, table, attempts == null ? null : attempts.patterns(), live,
+                settings, needs), List.of());
+    }
+
+    /** Sessions can't be switched on or off, nor take more descriptors, than the program has set aside. */
+    private LiveSettings live(IniFile file, boolean pushed) {
+        if (file == null) {
+            return null;
+        }
+        LiveSettings read = LiveSettings.read(file, LiveSettings.SiteRules.of(config));
+        if (pushed && descriptors < 0) {
+            file.fault(LiveSettings.SECTION, "", "this router was started without sessions, wanted: nothing of them");
+        } else if (pushed && read == null) {
+            file.fault(LiveSettings.SECTION, "on", "it can't be switched off while the program runs");
+        } else if (pushed && read.descriptors() > descriptors) {
+            file.fault(LiveSettings.SECTION, "sessions", "with their legs they take " + read.descriptors()
+                    + " descriptors, wanted: at most " + descriptors + ", as at the start");
+        }
+        return descriptors < 0 ? null : read;
+    }
+}
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -150,6 +150,17 @@
         }
     }
 
+    /** Multigets without their final answer, by product. */
+    public int[] open(int products) {
+        int[] count = new int[products];
+        for (Taken taken : open) {
+            if (taken != null && !taken.ended) {
+                count[taken.product]++;
+            }
+        }
+        return count;
+    }
+
     private void letGo(Taken taken) {
         if (taken.ended && taken.out == 0 && open.get(taken.ref) == taken) {
             open.set(taken.ref, null);
--- a/src/main/java/gladewing/discovery/Watch.java
+++ b/src/main/java/gladewing/discovery/Watch.java
@@ -57,6 +57,10 @@
     public void move(InetSocketAddress to) {
         address = to;
         revision = -1;
+        if (timer == null) {
+            // Not started yet: it will ask there.
+            return;
+        }
         timer.cancel();
         if (call != null) {
             Call earlier = call;
--- a/src/main/java/gladewing/live/Leg.java
+++ b/src/main/java/gladewing/live/Leg.java
@@ -12,6 +12,8 @@
     /** The places of its shards in the session. */
     final int[] places;
     State state = State.OPENING;
+    /** What it weighs on its node, from when it was up: settings may change meanwhile. */
+    double weight;
     /** The legs that carried its shards before and have not ended yet: until then nothing is sent on it. */
     final Set<Leg> after = new LinkedHashSet<>();
 
--- a/src/main/java/gladewing/live/LivePlan.java
+++ b/src/main/java/gladewing/live/LivePlan.java
@@ -46,7 +46,7 @@
         }
     }
 
-    private final LiveSettings settings;
+    private LiveSettings settings;
     private final Picker picker;
     private final Doing doing;
     private final Random random;
@@ -83,6 +83,11 @@
         this.random = new Random(seed);
     }
 
+    /** From now on by these; what is open stays, also where that is more than they let be opened. */
+    public void take(LiveSettings fresh) {
+        settings = fresh;
+    }
+
     public int sessions() {
         return sessions.size();
     }
@@ -169,7 +174,8 @@
         }
         boolean late = node == null || node.lastSend >= 0 && now >= node.lastSend;
         leg.state = Leg.State.UP;
-        picker.weigh(leg.node, settings.weight());
+        leg.weight = settings.weight();
+        picker.weigh(leg.node, leg.weight);
         if (leg.of.state == Session.State.ENDED || late) {
             retire(leg);
             return;
@@ -272,7 +278,7 @@
         legs--;
         session.legs.remove(leg);
         if (!opening) {
-            picker.weigh(leg.node, -settings.weight());
+            picker.weigh(leg.node, -leg.weight);
         }
         if (broken && !orderly) {
             picker.failed(leg.node);
--- a/src/main/java/gladewing/live/LiveSettings.java
+++ b/src/main/java/gladewing/live/LiveSettings.java
@@ -1,5 +1,7 @@
 package gladewing.live;
 
+import gladewing.config.Config;
+import gladewing.router.Settings;
 import gladewing.settings.IniFile;
 import gladewing.settings.Section;
 
@@ -20,7 +22,13 @@
     private static final int MOST = 1 << 20;
 
     /** The site's part of the settings. */
-    public record SiteRules(long grace, double coldShare, long coldSpan, int routers) { }
+    public record SiteRules(long grace, double coldShare, long coldSpan, int routers) {
+        public static SiteRules of(Config config) {
+            Settings.Rules rules = config.settings().rules();
+            return new SiteRules(config.drainGrace().micros(), rules.coldShare(), rules.coldSpan().micros(),
+                    config.settings().routers());
+        }
+    }
 
     /** Faults are told to the file; null where the section says that it is off, or is not there. */
     public static LiveSettings read(IniFile file, SiteRules site) {
--- a/src/main/java/gladewing/loop/Loop.java
+++ b/src/main/java/gladewing/loop/Loop.java
@@ -36,6 +36,7 @@
     private ScheduledFuture<?> alarm;
     private Time alarmAt;
     private Span late = Span.ZERO;
+    private long faults;
 
     public Loop(EventLoop thread) {
         this.thread = thread;
@@ -67,6 +68,7 @@
             timers.run(now);
             turns.end();
         } catch (RuntimeException fault) {
+            faults++;
             LOG.log(Level.SEVERE, "a pass ended with a fault of the program", fault);
         } finally {
             within = false;
@@ -82,6 +84,11 @@
         return late;
     }
 
+    /** How many passes have ended with a fault of the program. */
+    public long faults() {
+        return faults;
+    }
+
     /** For what may not be told in the middle of what is going on now: in a pass of its own, soon. */
     public void later(Runnable what) {
         thread.execute(() -> {
--- a/src/main/java/gladewing/routes/RouteFile.java
+++ b/src/main/java/gladewing/routes/RouteFile.java
@@ -16,6 +16,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.regex.Pattern;
 
 /** Makes a table of a settings file, or tells every fault in it: a table is whole or there is none. */
@@ -43,6 +45,8 @@
     private final List<Route> routes = new ArrayList<>();
     private final List<Fault> warnings = new ArrayList<>();
     private int slots;
+    /** What routes that act, and conditions, compare parts' shards with. */
+    private final Set<Integer> shards = new TreeSet<>();
 
     private RouteFile(IniFile file, Site site) {
         this.file = file;
@@ -105,7 +109,7 @@
             return null;
         }
         covered();
-        Table table = new Table(routes, slots);
+        Table table = new Table(routes, slots, shards);
         if (table.cost() > bounds.tableSteps()) {
             file.fault("", "", "one request may cost " + table.cost() + " steps, wanted: at most "
                     + bounds.tableSteps()
@@ -145,6 +149,9 @@
                 Expression condition = names.condition(name, text, problems);
                 affordable(section, name, condition);
                 existing(section, name, condition);
+                if (condition != null) {
+                    naming(condition);
+                }
             }
             problems.forEach(problem -> section.fault(name, problem.toString()));
         }
@@ -214,6 +221,9 @@
         }
         existing(section, "when", when);
         existing(section, "key", key);
+        for (Expression of : observes ? List.<Expression>of() : key == null ? List.of(when) : List.of(when, key)) {
+            naming(of);
+        }
         rules.check(section, when, product);
         Limit limit = limits.get(limitName);
         routes.add(new Route(name, observes, when, key, productName, product, tenantName, tenant,
@@ -284,6 +294,15 @@
         }
     }
 
+    /** The shards that an expression names. */
+    private void naming(Expression of) {
+        for (Mention shard : of.mentions(names.schema().field(Asked.PART, "shard"))) {
+            if (shard.value() instanceof Long number && number >= 0 && number < Integer.MAX_VALUE) {
+                shards.add(number.intValue());
+            }
+        }
+    }
+
     private void missing(Section section, String key, Expression of, String field, List<String> known) {
         for (Mention mention : of.mentions(names.schema().field(field))) {
             if (mention.value() instanceof String name && !known.contains(name)) {
--- a/src/main/java/gladewing/routes/Table.java
+++ b/src/main/java/gladewing/routes/Table.java
@@ -3,6 +3,7 @@
 import gladewing.expr.Compiled;
 import gladewing.expr.View;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
  */
 public final class Table {
     private final List<Route> routes;
+    private final Set<Integer> shards;
     private final Branch root;
     private final Compiled.Frame frame;
     private final Decision decision = new Decision();
@@ -22,8 +24,9 @@
     private int limit;
     private int observed;
 
-    Table(List<Route> routes, int slots) {
+    Table(List<Route> routes, int slots, Set<Integer> shards) {
         this.routes = List.copyOf(routes);
+        this.shards = Set.copyOf(shards);
         root = Branch.of(this.routes);
         frame = new Compiled.Frame(slots);
     }
@@ -32,6 +35,11 @@
         return routes;
     }
 
+    /** The shards that acting routes name, each by its number. */
+    public Set<Integer> shards() {
+        return shards;
+    }
+
     /** By route, the products (by index) that its multigets may be served as, as far as can be told. */
     public Map<String, Set<Integer>> served(Site site) {
         Map<String, Set<Integer>> served = new LinkedHashMap<>();
@@ -151,13 +159,16 @@
 
     /** Goes on with the limits of the table before it, where they are the same. */
     public void follow(Table before) {
+        // All routes that name a limit and act share one, and so do those that observe: one look each will do.
+        Map<String, KeyedLimit> old = new HashMap<>();
+        for (Route route : before.routes) {
+            if (route.limit != null) {
+                old.putIfAbsent(route.observes + route.limitName, route.limit);
+            }
+        }
         for (Route route : routes) {
-            for (Route old : before.routes) {
-                if (route.limit != null && route.observes == old.observes
-                        && route.limit.continues(old.limit)) {
-                    route.limit = old.limit;
-                    break;
-                }
+            if (route.limit != null && route.limit.continues(old.get(route.observes + route.limitName))) {
+                route.limit = old.get(route.observes + route.limitName);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/gladewing/serve/KnownNodes.java
@@ -0,0 +1,85 @@
+package gladewing.serve;
+
+import gladewing.discovery.Listing;
+import gladewing.json.Json;
+import gladewing.json.Unusable;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The list of data nodes as last told, kept whole so that it can be written down and read again at a start. */
+final class KnownNodes {
+    private final int cells;
+    private final Listing kept;
+    private final Map<String, Listing.Target> nodes = new TreeMap<>();
+    private long changes;
+
+    /** What was written down before, or null; what can't be read any more counts for nothing. */
+    KnownNodes(int cells, String before) {
+        this.cells = cells;
+        Listing read = null;
+        try {
+            read = before == null ? null : Listing.read(Json.fields("nodes", before.getBytes(
+                    StandardCharsets.UTF_8)), cells);
+        } catch (Unusable bad) {
+            // Of another site, say: discovery will tell.
+        }
+        kept = read;
+    }
+
+    /** Null for none. */
+    Listing kept() {
+        return kept;
+    }
+
+    void put(Listing listing) {
+        Map<String, Listing.Target> before = new TreeMap<>(nodes);
+        if (listing.all()) {
+            nodes.clear();
+        }
+        for (Listing.Target target : listing.targets()) {
+            if (target.state() == Listing.State.REMOVED) {
+                nodes.remove(target.uid());
+            } else {
+                nodes.put(target.uid(), target);
+            }
+        }
+        if (!before.equals(nodes)) {
+            changes++;
+        }
+    }
+
+    long changes() {
+        return changes;
+    }
+
+    /** Those that do not drain. */
+    int[] upByCell() {
+        int[] up = new int[cells];
+        for (Listing.Target target : nodes.values()) {
+            if (target.state() == Listing.State.UP) {
+                up[target.cell()]++;
+            }
+        }
+        return up;
+    }
+
+    /** As discovery tells a whole list; null where nothing is known. */
+    String text() {
+        if (nodes.isEmpty()) {
+            return null;
+        }
+        StringBuilder text = new StringBuilder("{\"rev\":0,\"all\":true,\"targets\":[");
+        String comma = "";
+        for (Listing.Target target : nodes.values()) {
+            text.append(comma).append("{\"uid\":");
+            Json.quote(text, target.uid());
+            text.append(",\"endpoint\":\"").append(target.endpoint().getAddress().getHostAddress()).append(':')
+                    .append(target.endpoint().getPort()).append("\",\"pod_group\":").append(target.cell())
+                    .append(",\"state\":\"").append(target.state() == Listing.State.UP ? "up" : "draining")
+                    .append("\",\"boot_ms\":").append(target.started()).append('}');
+            comma = ",";
+        }
+        return text.append("]}").toString();
+    }
+}
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -21,7 +21,7 @@
     private Program() { }
 
     /** Settings files of our own, each null where none is named. */
-    public record Files(String routes, String attempts, String live) { }
+    public record Files(String routes, String attempts, String live, String control) { }
 
     /**
      * Serves until it is told to end; the result is the process's exit code. The paths of the settings files
@@ -34,10 +34,12 @@
                 throw new Unusable("RELAY_CONFIG is not set");
             }
             Config config = Config.read(configPath);
-            Table table = files.routes == null ? null : Routing.read(files.routes, config);
-            Attempts attempts = files.attempts == null ? null : Repeating.read(files.attempts, config,
-                    table == null ? null : Routing.served(table, config));
             Sessions sessions = files.live == null ? null : Sessions.read(files.live, config);
+            Controlled controlled = files.control == null ? null : Controlled.read(files, config, sessions);
+            // With a control service these files are no more than what holds while it has said nothing.
+            Table table = files.routes == null || controlled != null ? null : Routing.read(files.routes, config);
+            Attempts attempts = files.attempts == null || controlled != null ? null
+                    : Repeating.read(files.attempts, config, table == null ? null : Routing.served(table, config));
             MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
             Rehearsal.play(config);
@@ -47,6 +49,9 @@
             Routing routing = table == null ? null : new Routing(files.routes, config, serve, thread, table);
             Repeating repeating = attempts == null ? null : thread.submit(
                     () -> Repeating.start(files.attempts, config, serve, attempts)).get();
+            if (controlled != null) {
+                thread.submit(() -> controlled.start(serve, bootstrap)).get();
+            }
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
                 throw new Unusable("can't listen on " + config.listen() + ": "
@@ -57,7 +62,7 @@
                 reread(config, thread, routing, repeating);
             });
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(thread, serve.ending(), routing,
-                    repeating), "ending"));
+                    repeating, controlled), "ending"));
             group.terminationFuture().await();
             return 0;
         } catch (Unusable bad) {
@@ -112,10 +117,14 @@
         });
     }
 
-    private static void end(EventLoop thread, Ending ending, Routing routing, Repeating repeating) {
+    private static void end(EventLoop thread, Ending ending, Routing routing, Repeating repeating,
+            Controlled controlled) {
         try {
             thread.execute(ending::begin);
             ending.await();
+            if (controlled != null) {
+                thread.submit(controlled::end).get();
+            }
             if (routing != null) {
                 thread.submit(routing::tell).get();
             }
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -34,6 +34,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +59,13 @@
     /** Null where no sessions are kept. */
     private final Live live;
     private Config config;
+    /** Where a version has discovery be; null where the configuration says. */
+    private InetSocketAddress pinned;
+    /** What data nodes are known; null where no one asks. */
+    private KnownNodes known;
+    private long finished;
+    private long dismissed;
+    private long givenUp;
     /** From Unix time to the loop's clock, fixed at the start: a node's start must not seem to move. */
     private final long unixOffset;
 
@@ -114,11 +122,14 @@
     /** On the loop's thread; the result is done once the address is listened on. */
     ChannelFuture start() {
         loop.pass();
-        Listing known = Listing.read(config.known(), config.settings().shards().cells());
-        put(known);
+        Listing first = Listing.read(config.known(), config.settings().shards().cells());
+        if (first.targets().isEmpty() && known != null && known.kept() != null) {
+            first = known.kept();
+        }
+        put(first);
         watch.start();
         // A silent discovery is no reason to stay away: what was known last is better than nothing.
-        if (!known.targets().isEmpty()) {
+        if (!first.targets().isEmpty()) {
             loop.after(PATIENCE_FOR_LIST, this::ready);
         }
         return clients.listen(new ServerBootstrap().group(thread).channel(NioServerSocketChannel.class)
@@ -145,7 +156,9 @@
         if (!fixed.isEmpty()) {
             LOG.warning("configuration: a change of " + String.join(", ", fixed) + " needs a new start");
         }
-        if (fresh.discovery().equals(config.discovery())) {
+        if (pinned != null) {
+            LOG.info("configuration read anew: discovery is where the version in force says, " + pinned);
+        } else if (fresh.discovery().equals(config.discovery())) {
             LOG.info("configuration read anew: discovery stays at " + fresh.discovery());
         } else {
             LOG.info("configuration read anew: discovery is at " + fresh.discovery());
@@ -154,6 +167,50 @@
         config = fresh;
     }
 
+    /** On the loop's thread: null for where the configuration says. */
+    void discoverAt(InetSocketAddress address) {
+        InetSocketAddress before = pinned == null ? config.discovery() : pinned;
+        pinned = address;
+        InetSocketAddress now = address == null ? config.discovery() : address;
+        if (!now.equals(before)) {
+            watch.move(now);
+        }
+    }
+
+    /** From here on what is listed is remembered there. */
+    void remember(KnownNodes nodes) {
+        known = nodes;
+    }
+
+    Clients clients() {
+        return clients;
+    }
+
+    /** Null where no sessions are kept. */
+    Live live() {
+        return live;
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    long finished() {
+        return finished;
+    }
+
+    long dismissed() {
+        return dismissed;
+    }
+
+    long givenUp() {
+        return givenUp;
+    }
+
+    int[] openByProduct() {
+        return decisions.open(config.products().size());
+    }
+
     @Override
     public void begin(Time now) {
         decisions.begin(now);
@@ -206,6 +263,9 @@
     }
 
     private void put(Listing listing) {
+        if (known != null) {
+            known.put(listing);
+        }
         List<NodeTable.Line<String>> lines = new ArrayList<>();
         if (listing.all()) {
             nodes.allGone();
@@ -250,9 +310,18 @@
     private void carryOut(Orders orders) {
         for (Orders.Final f : orders.finals) {
             switch (f.kind()) {
-                case WHOLE, PARTIAL -> f.taken().finished(f.kind() == Orders.Kind.WHOLE);
-                case DISMISSED -> f.taken().dismissed(f.comeBack());
-                default -> f.taken().givenUp();
+                case WHOLE, PARTIAL -> {
+                    finished++;
+                    f.taken().finished(f.kind() == Orders.Kind.WHOLE);
+                }
+                case DISMISSED -> {
+                    dismissed++;
+                    f.taken().dismissed(f.comeBack());
+                }
+                default -> {
+                    givenUp++;
+                    f.taken().givenUp();
+                }
             }
         }
         orders.withdrawals.forEach(nodes::withdraw);
--- a/src/main/java/gladewing/serve/Sessions.java
+++ b/src/main/java/gladewing/serve/Sessions.java
@@ -3,7 +3,6 @@
 import gladewing.config.Config;
 import gladewing.json.Unusable;
 import gladewing.live.LiveSettings;
-import gladewing.router.Settings;
 import gladewing.settings.Faulty;
 import gladewing.settings.IniFile;
 
@@ -21,9 +20,7 @@
     /** Null where the file says that there are none. */
     static Sessions read(String path, Config config) {
         IniFile file = IniFile.read(path);
-        Settings.Rules rules = config.settings().rules();
-        LiveSettings read = LiveSettings.read(file, new LiveSettings.SiteRules(config.drainGrace().micros(),
-                rules.coldShare(), rules.coldSpan().micros(), config.settings().routers()));
+        LiveSettings read = LiveSettings.read(file, LiveSettings.SiteRules.of(config));
         int most = Serve.descriptors(config) / 2;
         if (read != null && read.descriptors() > most) {
             file.fault(LiveSettings.SECTION, "sessions", "with their legs they take " + read.descriptors()
--- a/src/main/java/gladewing/sessions/Live.java
+++ b/src/main/java/gladewing/sessions/Live.java
@@ -37,7 +37,7 @@
     private static final int CHECK = 10;
 
     final Loop loop;
-    final LiveSettings settings;
+    LiveSettings settings;
     final LivePlan plan;
     final Flow.Held held;
     final SecureRandom random = new SecureRandom();
@@ -68,6 +68,12 @@
         loop.after(TICK, this::tick);
     }
 
+    /** From now on by these; what is held in all is as at the start. */
+    public void take(LiveSettings fresh) {
+        settings = fresh;
+        plan.take(fresh);
+    }
+
     private void tick() {
         long now = now();
         plan.tick(now);
--- /dev/null
+++ b/src/main/java/gladewing/versions/Edit.java
@@ -0,0 +1,62 @@
+package gladewing.versions;
+
+import java.util.List;
+
+/**
+ * One change of a text by lines: from a line (the first is 1) so many are cut, and others put in their place. The
+ * edits of a change are in the order of their lines, all numbered as in the text before.
+ */
+public record Edit(int line, int cut, List<String> put) {
+
+    /** Null where the edits do not fit the text. */
+    public static String apply(String text, List<Edit> edits) {
+        String[] lines = text.split("\n", -1);
+        StringBuilder to = new StringBuilder(text.length());
+        int at = 0;
+        boolean first = true;
+        for (Edit edit : edits) {
+            int from = edit.line - 1;
+            if (from < at || edit.cut < 0 || (long) from + edit.cut > lines.length) {
+                return null;
+            }
+            for (; at < from; at++) {
+                first = line(to, first, lines[at]);
+            }
+            for (String put : edit.put) {
+                first = line(to, first, put);
+            }
+            at += edit.cut;
+        }
+        for (; at < lines.length; at++) {
+            first = line(to, first, lines[at]);
+        }
+        return to.toString();
+    }
+
+    private static boolean line(StringBuilder to, boolean first, String line) {
+        if (!first) {
+            to.append('\n');
+        }
+        to.append(line);
+        return false;
+    }
+
+    /** The edits that make one text of the other: what both begin and end with stays. */
+    public static List<Edit> between(String before, String after) {
+        String[] a = before.split("\n", -1);
+        String[] b = after.split("\n", -1);
+        int head = 0;
+        while (head < a.length && head < b.length && a[head].equals(b[head])) {
+            head++;
+        }
+        int tail = 0;
+        while (tail < a.length - head && tail < b.length - head
+                && a[a.length - 1 - tail].equals(b[b.length - 1 - tail])) {
+            tail++;
+        }
+        if (head == a.length && head == b.length) {
+            return List.of();
+        }
+        return List.of(new Edit(head + 1, a.length - head - tail, List.of(b).subList(head, b.length - tail)));
+    }
+}
--- /dev/null
+++ b/src/main/java/gladewing/versions/Situation.java
@@ -0,0 +1,57 @@
+package gladewing.versions;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+
+/**
+ * What is listed and open at one instant.
+ *
+ * @param upByCell listed nodes that do not drain, by cell; a shard is held by the cells (shard + j) mod their number,
+ *        for j below the reach
+ * @param openByProduct multigets without their final answer
+ * @param sessions long-lived sessions
+ */
+public record Situation(int[] upByCell, int reach, int[] openByProduct, int sessions) {
+    private static final int MOST_NAMED = 8;
+
+    /** Null where a version may begin now, else why it must wait. Each of these can come right by itself. */
+    public String unsafe(Needs needs) {
+        List<Integer> without = new ArrayList<>();
+        for (int shard : new TreeSet<>(needs.shards())) {
+            if (!held(shard)) {
+                without.add(shard);
+            }
+        }
+        if (!without.isEmpty()) {
+            return "its routes name shards that no listed node holds: " + without.subList(0,
+                    Math.min(MOST_NAMED, without.size())) + (without.size() > MOST_NAMED ? " and "
+                    + (without.size() - MOST_NAMED) + " more" : "");
+        }
+        int up = 0;
+        for (int cell : upByCell) {
+            up += cell;
+        }
+        if (up < needs.nodes()) {
+            return "it needs " + needs.nodes() + " listed nodes that do not drain, there are " + up;
+        }
+        for (int product : needs.closed()) {
+            if (openByProduct[product] > 0) {
+                return "it takes away a product with " + openByProduct[product] + " multigets open";
+            }
+        }
+        if (needs.sessions() >= 0 && sessions > needs.sessions()) {
+            return "it lets " + needs.sessions() + " sessions be open, there are " + sessions;
+        }
+        return null;
+    }
+
+    private boolean held(int shard) {
+        for (int j = 0; j < reach; j++) {
+            if (upByCell[(shard + j) % upByCell.length] > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
