--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -76,7 +76,10 @@
         return new ClientConnection(this);
     }
 
-    /** From now on requests are routed by it, or by none where it is null; what was taken before stays as it was routed. */
+    /**
+     * From now on requests are routed by it, or by none where it is null; what was taken before stays as it
+     * was routed.
+     */
     public void route(Table table) {
         gate = table == null ? null : new Gate(table, gate);
     }
--- a/src/main/java/gladewing/control/Control.java
+++ b/src/main/java/gladewing/control/Control.java
@@ -29,8 +29,9 @@
 import java.util.logging.Logger;
 
 /**
- * Keeps a watch on a control service, has what comes checked off the loop's thread, carries out what the versions
- * decide, and brings their answers back. It decides nothing. All but the work handed to its thread is on the loop's.
+ * Keeps a watch on a control service, has what comes checked off the loop's thread, carries out what the
+ * versions decide, and brings their answers back. It decides nothing. All but the work handed to its thread
+ * is on the loop's.
  */
 public final class Control implements WatchCall.Told {
     private static final Logger LOG = Logger.getLogger(Control.class.getName());
@@ -127,7 +128,8 @@
         Manifest of = versions.inForce();
         String request = "GET /control/watch?router=" + name + "&site=" + settings.site() + "&epoch="
                 + (of == null ? 0 : of.epoch()) + "&number=" + (of == null ? 0 : of.number())
-                + " HTTP/1.1\r\nHost: " + settings.address().getHostString() + ":" + settings.address().getPort()
+                + " HTTP/1.1\r\nHost: " + settings.address().getHostString() + ":" + settings.address()
+                .getPort()
                 + "\r\nAccept: application/jsonl\r\n\r\n";
         WatchCall call = new WatchCall(loop, request, settings.longest(), this);
         watch = call;
@@ -175,14 +177,15 @@
                 withdrawn(read.withdrawal());
             }
             from.goOn();
-        }, fault -> new Wire.Message(null, null, new Wire.Bad(Stage.READABLE, "a fault of the program: " + fault,
+        }, fault -> new Wire.Message(null, null, new Wire.Bad(Stage.READABLE, "a fault of the program: "
+                + fault,
                 -1, -1)));
     }
 
     private void bad(Wire.Bad bad) {
         LOG.warning("a message of the control service is turned down: " + bad.reason());
         if (bad.number() >= 0) {
-            add(new Answer(bad.epoch(), bad.number(), false, bad.stage(), bad.reason(), "", false));
+            add(new Answer(bad.epoch(), bad.number(), "", false, bad.stage(), bad.reason(), "", false));
         }
     }
 
@@ -244,7 +247,8 @@
         Fault first = made.faults().get(0);
         int more = made.faults().size() - 1;
         return new Checked(null, Stage.KINDS, first.what().lines().findFirst().orElse("") + (more == 0 ? ""
-                : ", and " + more + " more faults"), (first.file() + " [" + first.section() + "] " + first.key())
+                : ", and " + more + " more"), (first.file() + " [" + first.section() + "] "
+                + first.key())
                 .strip());
     }
 
@@ -288,7 +292,8 @@
         }
         versions.answers().forEach(this::add);
         ready.keySet().removeIf(m -> !m.same(versions.next()) && !m.same(versions.later()));
-        if (!saving && router.nodesChanged() != nodesSaved && now.since(nodesSavedAt).longerThan(NODES_BEHIND)) {
+        if (!saving && router.nodesChanged() != nodesSaved && now.since(nodesSavedAt)
+                .longerThan(NODES_BEHIND)) {
             save(now, null);
         }
         if (!saving && !saveDue) {
@@ -338,7 +343,8 @@
             router.putInForce(candidate);
             inForceSince = now;
             longestApply = Span.longest(longestApply, Loop.clock().since(begun));
-            tell(shown(candidate.manifest()) + " is in force after " + Loop.clock().since(begun).millis() + " ms");
+            tell(shown(candidate.manifest()) + " is in force after " + Loop.clock().since(begun).millis()
+                    + " ms");
             return null;
         } catch (RuntimeException fault) {
             LOG.log(Level.SEVERE, "a version could not be put in force", fault);
@@ -393,7 +399,7 @@
 
     private void add(Answer answer) {
         tell("version " + answer.epoch() + "." + answer.number() + ": " + answer);
-        String id = answer.epoch() + "." + answer.number();
+        String id = answer.digest().isEmpty() ? answer.epoch() + "." + answer.number() : answer.digest();
         answers.remove(id);
         answers.put(id, answer);
         while (answers.size() > MOST_ANSWERS) {
@@ -412,7 +418,8 @@
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         String head = "POST /control/answers HTTP/1.1\r\nHost: " + settings.address().getHostString() + ":"
                 + settings.address().getPort() + "\r\nContent-Type: application/json\r\nX-Control-Key: " + key
-                + "\r\nX-Control-Mac: " + settings.keys().sign(key, body) + "\r\nContent-Length: " + bytes.length
+                + "\r\nX-Control-Mac: " + settings.keys().sign(key, body) + "\r\nContent-Length: "
+                + bytes.length
                 + "\r\n\r\n";
         byte[] request = (head + body).getBytes(StandardCharsets.UTF_8);
         List<Answer> told = List.copyOf(answers.values());
@@ -420,7 +427,8 @@
             if (why == null) {
                 answerAgain.good();
                 answering = false;
-                told.forEach(a -> answers.remove(a.epoch() + "." + a.number(), a));
+                // Not one that has taken a told one's place meanwhile.
+                answers.values().removeAll(told);
             } else {
                 loop.after(answerAgain.next(), () -> answering = false);
             }
@@ -435,7 +443,10 @@
         loop.after(settings.answerWithin(), () -> call.end("no answer in time"));
     }
 
-    /** One object of JSON that operators can read: what is in force, since when, what waits, and how old it all is. */
+    /**
+     * One object of JSON that operators can read: what is in force, since when, what waits, and how old it
+     * all is.
+     */
     public String page() {
         Time now = loop.pass();
         Manifest next = versions.next();
--- a/src/main/java/gladewing/control/ControlSettings.java
+++ b/src/main/java/gladewing/control/ControlSettings.java
@@ -48,17 +48,21 @@
     static ControlSettings of(IniFile file) {
         Section s = file.section(SECTION);
         s.only("on", "address", "site", "folder", "longest", "silence", "whole-within", "answer-within",
-                "first-wait", "longest-wait", "spread", "patience", "before", "trial", "least", "longest-trial",
+                "first-wait", "longest-wait", "spread", "patience", "before", "trial", "least",
+                "longest-trial",
                 "margin", "deviations", "hold-down", "starts");
         boolean on = s.word("on", List.of("no", "yes")).equals("yes");
         InetSocketAddress address = address(s, on);
         String site = s.text("site", "");
         if (on && !NAME.matcher(site).matches()) {
-            s.fault("site", "'" + site + "', wanted: the name of the site, at most 64 letters, digits, _ . or -");
+            s.fault("site", "'" + site
+                    + "', wanted: the name of the site, at most 64 letters, digits, _ . or -");
         }
         Span trial = span(s, "trial", 30 * SECOND, SECOND, HOUR);
-        Pace pace = new Pace(span(s, "spread", 60 * SECOND, 0, 24 * HOUR), span(s, "patience", 60 * SECOND, 0, HOUR),
-                span(s, "before", 60 * SECOND, SECOND, HOUR), trial, (int) s.whole("least", 100, 10, 1_000_000),
+        Pace pace = new Pace(span(s, "spread", 60 * SECOND, 0, 24 * HOUR), span(s, "patience", 60 * SECOND, 0,
+                HOUR),
+                span(s, "before", 60 * SECOND, SECOND, HOUR), trial, (int) s.whole("least", 100, 10,
+                1_000_000),
                 span(s, "longest-trial", 10 * trial.micros(), SECOND, 24 * HOUR),
                 s.number("margin", 0.02, 0, 1), s.number("deviations", 4, 1, 100),
                 span(s, "hold-down", 60 * SECOND, 0, 24 * HOUR), (int) s.whole("starts", 2, 1, 100));
@@ -73,8 +77,10 @@
         Keys keys = keys(file, on);
         String folder = s.text("folder");
         ControlSettings read = new ControlSettings(address, site, folder == null ? null : Path.of(folder),
-                (int) s.whole("longest", 4 << 20, 1024, MOST_BYTES), span(s, "silence", 30 * SECOND, 10_000, HOUR),
-                span(s, "whole-within", 30 * SECOND, 10_000, HOUR), span(s, "answer-within", 5 * SECOND, 10_000,
+                (int) s.whole("longest", 4 << 20, 1024, MOST_BYTES), span(s, "silence", 30 * SECOND, 10_000,
+                HOUR),
+                span(s, "whole-within", 30 * SECOND, 10_000, HOUR), span(s, "answer-within", 5 * SECOND,
+                10_000,
                         HOUR), first, longest, pace, keys);
         return on ? read : null;
     }
--- a/src/main/java/gladewing/control/Keeper.java
+++ b/src/main/java/gladewing/control/Keeper.java
@@ -23,7 +23,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** What outlasts the program, on disk: versions, what was turned down, and the list of data nodes as last known. */
+/**
+ * What outlasts the program, on disk: versions, what was turned down, and the list of data nodes as last
+ * known.
+ */
 public final class Keeper implements AutoCloseable {
     private static final int FORMAT = 1;
 
@@ -49,7 +52,10 @@
         }
     }
 
-    /** The path is null where nothing is kept. A folder that can't be used is told, and serving goes on without. */
+    /**
+     * The path is null where nothing is kept. A folder that can't be used is told, and serving goes on
+     * without.
+     */
     public static Keeper open(Path path) {
         Keeper keeper = new Keeper();
         if (path == null) {
@@ -60,7 +66,8 @@
         try {
             folder = DiskFolder.open(path);
             keeper.store = Store.open(folder);
-            keeper.trouble = keeper.store.findings().isEmpty() ? null : String.join("; ", keeper.store.findings());
+            keeper.trouble = keeper.store.findings().isEmpty() ? null : String.join("; ",
+                    keeper.store.findings());
         } catch (IOException | RuntimeException bad) {
             keeper.trouble = "the folder can't be used: " + bad;
             if (folder != null) {
@@ -104,7 +111,8 @@
     private Kept read(Store from) throws IOException {
         JsonNode state = json.readTree(from.state());
         if (state.path("format").asInt() != FORMAT) {
-            throw new IOException("format " + state.path("format").asText("none") + ", this program has " + FORMAT);
+            throw new IOException("format " + state.path("format").asText("none") + ", this program has "
+                    + FORMAT);
         }
         List<Remembered.Refused> refused = new ArrayList<>();
         for (JsonNode r : state.get("refused")) {
@@ -113,7 +121,8 @@
                     r.get("reason").asText()));
         }
         Remembered remembered = new Remembered(Wire.kept(state.get("in_force")), Wire.kept(state.get("good")),
-                state.get("starts").asInt(), state.get("seen_epoch").asLong(), state.get("seen_number").asLong(),
+                state.get("starts").asInt(), state.get("seen_epoch").asLong(), state.get("seen_number")
+                .asLong(),
                 refused);
         Map<String, String> texts = new HashMap<>();
         for (Manifest m : new Manifest[] {remembered.inForce(), remembered.good()}) {
--- a/src/main/java/gladewing/control/LineStream.java
+++ b/src/main/java/gladewing/control/LineStream.java
@@ -5,8 +5,8 @@
 import java.util.Locale;
 
 /**
- * Reads the control service's answer to a watch: a head, and then a body in chunks that never ends, in which each line
- * is a message. What is held of a line that has not ended is bounded.
+ * Reads the control service's answer to a watch: a head, and then a body in chunks that never ends, in which
+ * each line is a message. What is held of a line that has not ended is bounded.
  */
 final class LineStream {
     private static final int MOST_HEAD = 8 * 1024;
--- a/src/main/java/gladewing/control/RouterSettings.java
+++ b/src/main/java/gladewing/control/RouterSettings.java
@@ -48,7 +48,8 @@
             String plain = name.strip();
             if (!plain.isEmpty() && !products.contains(plain)) {
                 String near = Near.of(plain, products);
-                section.fault("closed", "there is no product " + plain + (near == null ? "" : ", did you mean "
+                section.fault("closed", "there is no product " + plain + (near == null ? ""
+                        : ", did you mean "
                         + near + "?"));
             } else if (!plain.isEmpty() && !closed.contains(products.indexOf(plain))) {
                 closed.add(products.indexOf(plain));
--- a/src/main/java/gladewing/control/Wire.java
+++ b/src/main/java/gladewing/control/Wire.java
@@ -29,7 +29,10 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-/** The messages of the control protocol, docs/control.md: what comes is read, held against the schema, and typed. */
+/**
+ * The messages of the control protocol, docs/control.md: what comes is read, held against the schema, and
+ * typed.
+ */
 public final class Wire {
     private static final int DEEPEST = 16;
     private static final int MOST_TOLD = 3;
@@ -123,7 +126,8 @@
             Body read = body.has("whole") ? new Body(body.get("whole").asText(), null, List.of())
                     : new Body(null, body.get("against").asText(), edits);
             if (bodies.put(kind, read) != null || manifest.digest(kind) == null) {
-                return bad(Stage.SCHEMA, "bodies: " + kind.word + " once at most, and only with an entry", node);
+                return bad(Stage.SCHEMA, "bodies: " + kind.word + " once at most, and only with an entry",
+                        node);
             }
         }
         return new Message(new Push(manifest, bodies), null, null);
@@ -135,7 +139,8 @@
             entries.put(Kind.of(entry.get("kind").asText()), new Manifest.Entry(entry.get("number").asLong(),
                     entry.get("digest").asText()));
         }
-        return new Manifest(node.get("site").asText(), node.get("epoch").asLong(), node.get("number").asLong(),
+        return new Manifest(node.get("site").asText(), node.get("epoch").asLong(), node.get("number")
+                .asLong(),
                 node.path("expires").asLong(0), entries, node.get("key").asText(), node.get("mac").asText());
     }
 
@@ -152,7 +157,8 @@
             to.put("against", body.against());
             ArrayNode edits = to.putArray("edits");
             for (Edit edit : body.edits()) {
-                ArrayNode put = edits.addObject().put("line", edit.line()).put("cut", edit.cut()).putArray("put");
+                ArrayNode put = edits.addObject().put("line", edit.line()).put("cut", edit.cut())
+                        .putArray("put");
                 edit.put().forEach(put::add);
             }
         });
@@ -160,7 +166,8 @@
     }
 
     ObjectNode object(Manifest m) {
-        ObjectNode node = json.createObjectNode().put("type", "set").put("site", m.site()).put("epoch", m.epoch())
+        ObjectNode node = json.createObjectNode().put("type", "set").put("site", m.site()).put("epoch",
+                m.epoch())
                 .put("number", m.number());
         if (m.expires() > 0) {
             node.put("expires", m.expires());
@@ -177,7 +184,8 @@
         node.put("in_force", inForce == null ? "" : inForce.id());
         ArrayNode all = node.putArray("answers");
         for (Answer a : answers) {
-            all.addObject().put("epoch", a.epoch()).put("number", a.number()).put("answer", a.taken() ? "ack"
+            all.addObject().put("epoch", a.epoch()).put("number", a.number()).put("digest", a.digest())
+                    .put("answer", a.taken() ? "ack"
                     : "nack").put("stage", a.stage().word()).put("reason", a.reason()).put("place", a.place())
                     .put("lasts", a.lasts());
         }
--- a/src/main/java/gladewing/control/Workshop.java
+++ b/src/main/java/gladewing/control/Workshop.java
@@ -21,7 +21,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Makes what a version says of its texts, off the loop's thread: each kind by its own checker, then all together. */
+/**
+ * Makes what a version says of its texts, off the loop's thread: each kind by its own checker, then all
+ * together.
+ */
 public final class Workshop {
     private final Config config;
     private final Site site;
@@ -50,8 +53,8 @@
     public record Made(Candidate candidate, List<Fault> faults) { }
 
     /**
-     * The texts that a manifest's digests name: from its bodies, from edits against a text that is known, or one that
-     * is known already.
+     * The texts that a manifest's digests name: from its bodies, from edits against a text that is known, or
+     * one that is known already.
      *
      * @param known by digest
      * @param longest bytes of all texts together
@@ -67,14 +70,16 @@
             if (body == null) {
                 text = known.get(digest);
                 if (text == null) {
-                    return Texts.none(kind.word + ": no body, and no text of digest " + digest + " is held here");
+                    return Texts.none(kind.word + ": no body, and no text of digest " + digest
+                            + " is held here");
                 }
             } else if (body.whole() != null) {
                 text = body.whole();
             } else {
                 String before = known.get(body.against());
                 if (before == null) {
-                    return Texts.none(kind.word + ": a change against a text that is not held here, wanted: the whole");
+                    return Texts.none(kind.word
+                            + ": a change against a text that is not held here, wanted: the whole");
                 }
                 text = Edit.apply(before, body.edits());
                 if (text == null) {
@@ -114,7 +119,8 @@
                 files.put(kind, IniFile.of(kind.word, text));
             }
         }
-        RouterSettings settings = files.containsKey(Kind.SETTINGS) ? RouterSettings.read(files.get(Kind.SETTINGS),
+        RouterSettings settings = files.containsKey(Kind.SETTINGS)
+                ? RouterSettings.read(files.get(Kind.SETTINGS),
                 config.products()) : RouterSettings.NONE;
         List<Fault> faults = new ArrayList<>();
         Table table = null;
@@ -126,7 +132,8 @@
         Attempts attempts = null;
         // Rows name routes: without a table that holds they can't be judged.
         if (files.containsKey(Kind.ATTEMPTS) && (table != null || !files.containsKey(Kind.ROUTES))) {
-            Attempts.Outcome made = Attempts.check(files.get(Kind.ATTEMPTS), new AttemptSite(config.products(),
+            Attempts.Outcome made = Attempts.check(files.get(Kind.ATTEMPTS),
+                    new AttemptSite(config.products(),
                     config.settings(), config.connections().connectTimeOut(), table == null ? null
                     : table.served(site)));
             attempts = made.attempts();
@@ -143,7 +150,8 @@
         }
         Needs needs = new Needs(table == null ? Set.of() : table.shards(), settings.nodes(),
                 settings.closed(), live == null ? -1 : live.sessions());
-        return new Made(new Candidate(manifest, texts, table, attempts == null ? null : attempts.patterns(), live,
+        return new Made(new Candidate(manifest, texts, table, attempts == null ? null : attempts.patterns(),
+                live,
                 settings, needs), List.of());
     }
 
@@ -154,7 +162,8 @@
         }
         LiveSettings read = LiveSettings.read(file, LiveSettings.SiteRules.of(config));
         if (pushed && descriptors < 0) {
-            file.fault(LiveSettings.SECTION, "", "this router was started without sessions, wanted: nothing of them");
+            file.fault(LiveSettings.SECTION, "",
+                    "this router was started without sessions, wanted: nothing of them");
         } else if (pushed && read == null) {
             file.fault(LiveSettings.SECTION, "on", "it can't be switched off while the program runs");
         } else if (pushed && read.descriptors() > descriptors) {
--- a/src/main/java/gladewing/durable/Records.java
+++ b/src/main/java/gladewing/durable/Records.java
@@ -8,9 +8,9 @@
 import java.util.zip.CRC32C;
 
 /**
- * The form of a file of records: a head of eight bytes with the format's version, then records, each its mark,
- * the length of its body, its type, a checksum over these two and the body, and the body. A record is whole or
- * it counts for nothing.
+ * The form of a file of records: a head of eight bytes with the format's version, then records, each its
+ * mark, the length of its body, its type, a checksum over these two and the body, and the body. A record is
+ * whole or it counts for nothing.
  */
 final class Records {
     /** The last byte is the format's version. */
@@ -69,7 +69,8 @@
                 zeros &= b == 0;
             }
             boolean ours = Arrays.equals(file, 0, HEAD.length - 1, HEAD, 0, HEAD.length - 1);
-            String flaw = ours ? "its format is version " + (char) file[HEAD.length - 1] + ", this program has "
+            String flaw = ours ? "its format is version " + (char) file[HEAD.length - 1]
+                    + ", this program has "
                     + (char) HEAD[HEAD.length - 1] : "its head is none of ours";
             return new Read(entries, behind, 0, flaw, zeros, zeros || !ours);
         }
@@ -93,7 +94,8 @@
             }
         }
         // What was never synced may be cut, empty or mixed, but nothing whole can stand behind it.
-        return new Read(entries, behind, at, "from byte " + at + " of " + file.length + " it has no whole record"
+        return new Read(entries, behind, at, "from byte " + at + " of " + file.length
+                + " it has no whole record"
                 + (behind.isEmpty() ? "" : ", but " + behind.size() + " stand behind the flaw"),
                 behind.isEmpty(), true);
     }
--- a/src/main/java/gladewing/durable/Store.java
+++ b/src/main/java/gladewing/durable/Store.java
@@ -86,8 +86,8 @@
             if (g.read.flaw() != null) {
                 findings.add(g.name + ": " + g.read.flaw());
             }
-            // A generation gets its name once it is synced: one without a state, or with records behind a flaw,
-            // was changed after that.
+            // A generation gets its name once it is synced: one without a state, or with records behind a
+            // flaw, was changed after that.
             damaged |= g.read.flaw() != null && !g.read.torn() || !holds;
             if (!holds) {
                 findings.add(g.name + ": no whole state in it");
@@ -154,7 +154,8 @@
      * Returns once the state lasts. The texts are all that it refers to, each named by 64 letters; those that
      * are kept already are not written again.
      *
-     * @throws IOException where it does not last: what was saved before still does, and a later call may succeed
+     * @throws IOException where it does not last: what was saved before still does, and a later call may
+     *        succeed
      */
     public void save(byte[] fresh, Map<String, byte[]> refers) throws IOException {
         if (damaged) {
@@ -235,8 +236,8 @@
     }
 
     /**
-     * Sets what is damaged aside under names that begin with `aside-`, and begins anew with the last whole state
-     * that was found, if there is any. Returns what was done, a line each.
+     * Sets what is damaged aside under names that begin with `aside-`, and begins anew with the last whole
+     * state that was found, if there is any. Returns what was done, a line each.
      */
     public List<String> repair() throws IOException {
         List<String> done = new ArrayList<>();
--- a/src/main/java/gladewing/routes/RouteFile.java
+++ b/src/main/java/gladewing/routes/RouteFile.java
@@ -221,7 +221,8 @@
         }
         existing(section, "when", when);
         existing(section, "key", key);
-        for (Expression of : observes ? List.<Expression>of() : key == null ? List.of(when) : List.of(when, key)) {
+        for (Expression of : observes ? List.<Expression>of() : key == null ? List.of(when) : List.of(when,
+                key)) {
             naming(of);
         }
         rules.check(section, when, product);
--- a/src/main/java/gladewing/routes/Table.java
+++ b/src/main/java/gladewing/routes/Table.java
@@ -159,7 +159,8 @@
 
     /** Goes on with the limits of the table before it, where they are the same. */
     public void follow(Table before) {
-        // All routes that name a limit and act share one, and so do those that observe: one look each will do.
+        // All routes that name a limit and act share one, and so do those that observe: one look each will
+        // do.
         Map<String, KeyedLimit> old = new HashMap<>();
         for (Route route : before.routes) {
             if (route.limit != null) {
--- a/src/main/java/gladewing/serve/KnownNodes.java
+++ b/src/main/java/gladewing/serve/KnownNodes.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The list of data nodes as last told, kept whole so that it can be written down and read again at a start. */
+/**
+ * The list of data nodes as last told, kept whole so that it can be written down and read again at a start.
+ */
 final class KnownNodes {
     private final int cells;
     private final Listing kept;
@@ -74,7 +76,8 @@
         for (Listing.Target target : nodes.values()) {
             text.append(comma).append("{\"uid\":");
             Json.quote(text, target.uid());
-            text.append(",\"endpoint\":\"").append(target.endpoint().getAddress().getHostAddress()).append(':')
+            text.append(",\"endpoint\":\"").append(target.endpoint().getAddress().getHostAddress())
+                    .append(':')
                     .append(target.endpoint().getPort()).append("\",\"pod_group\":").append(target.cell())
                     .append(",\"state\":\"").append(target.state() == Listing.State.UP ? "up" : "draining")
                     .append("\",\"boot_ms\":").append(target.started()).append('}');
--- a/src/main/java/gladewing/serve/Logs.java
+++ b/src/main/java/gladewing/serve/Logs.java
@@ -1,5 +1,7 @@
 package gladewing.serve;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.logging.Handler;
 import java.util.logging.Logger;
 
@@ -11,6 +13,8 @@
 
     /** Before anything is logged; the manager is named in a class that is none, or it would come too late. */
     static void install() {
+        // Netty would look for other logs first, and load what it finds of them.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         System.setProperty("java.util.logging.manager", "gladewing.serve.KeptLogs");
         if (System.getProperty("java.util.logging.SimpleFormatter.format") == null) {
             System.setProperty("java.util.logging.SimpleFormatter.format", FORMAT);
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -37,9 +37,11 @@
             Sessions sessions = files.live == null ? null : Sessions.read(files.live, config);
             Controlled controlled = files.control == null ? null : Controlled.read(files, config, sessions);
             // With a control service these files are no more than what holds while it has said nothing.
-            Table table = files.routes == null || controlled != null ? null : Routing.read(files.routes, config);
+            Table table = files.routes == null || controlled != null ? null : Routing.read(files.routes,
+                    config);
             Attempts attempts = files.attempts == null || controlled != null ? null
-                    : Repeating.read(files.attempts, config, table == null ? null : Routing.served(table, config));
+                    : Repeating.read(files.attempts, config, table == null ? null : Routing.served(table,
+                    config));
             MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
             Rehearsal.play(config);
--- a/src/main/java/gladewing/versions/Edit.java
+++ b/src/main/java/gladewing/versions/Edit.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * One change of a text by lines: from a line (the first is 1) so many are cut, and others put in their place. The
- * edits of a change are in the order of their lines, all numbered as in the text before.
+ * One change of a text by lines: from a line (the first is 1) so many are cut, and others put in their place.
+ * The edits of a change are in the order of their lines, all numbered as in the text before.
  */
 public record Edit(int line, int cut, List<String> put) {
 
--- a/src/main/java/gladewing/versions/Keys.java
+++ b/src/main/java/gladewing/versions/Keys.java
@@ -54,7 +54,8 @@
     }
 
     private static String sign(byte[] secret, String text) {
-        return new HmacUtils(HmacAlgorithms.HMAC_SHA_256, secret).hmacHex(text.getBytes(StandardCharsets.UTF_8));
+        return new HmacUtils(HmacAlgorithms.HMAC_SHA_256, secret)
+                .hmacHex(text.getBytes(StandardCharsets.UTF_8));
     }
 
     public static String digest(String text) {
--- a/src/main/java/gladewing/versions/Manifest.java
+++ b/src/main/java/gladewing/versions/Manifest.java
@@ -7,8 +7,8 @@
 
 /**
  * One version: for each kind that it states, the number and the digest (SHA-256, hexadecimal) of its text. A
- * kind that it does not state goes by the file that the router was started with. It is whole by itself, so that
- * one signature over it covers every text that is in force under it, however the texts came.
+ * kind that it does not state goes by the file that the router was started with. It is whole by itself, so
+ * that one signature over it covers every text that is in force under it, however the texts came.
  *
  * @param site whose routers it is for
  * @param expires in milliseconds of Unix time, after which it is not begun any more; 0 for never
@@ -34,6 +34,11 @@
         return text.toString();
     }
 
+    /** Of what is signed: by it answers name the version. */
+    public String digest() {
+        return Keys.digest(canonical());
+    }
+
     /** What is signed of a message that takes this version back. */
     public static String withdrawal(String site, long epoch, long number) {
         return "gladewing withdraw 1\n" + site + '\n' + epoch + '\n' + number + '\n';
--- a/src/main/java/gladewing/versions/Pace.java
+++ b/src/main/java/gladewing/versions/Pace.java
@@ -13,8 +13,10 @@
  * @param longest how long a trial may go on for want of ends
  * @param margin no share of bad ends that is larger by less is worse
  * @param deviations nor one that chance makes larger by so many standard deviations
- * @param holdDown nothing begins so soon after a way back, twice as long after each in a row, up to eight times
+ * @param holdDown nothing begins so soon after a way back, twice as long after each in a row, up to eight
+ *        times
  * @param starts a version that was on trial at so many starts of the program is not begun once more
  */
-public record Pace(Span spread, Span patience, Span before, Span trial, int least, Span longest, double margin,
+public record Pace(Span spread, Span patience, Span before, Span trial, int least, Span longest,
+        double margin,
         double deviations, Span holdDown, int starts) { }
--- a/src/main/java/gladewing/versions/Situation.java
+++ b/src/main/java/gladewing/versions/Situation.java
@@ -7,8 +7,8 @@
 /**
  * What is listed and open at one instant.
  *
- * @param upByCell listed nodes that do not drain, by cell; a shard is held by the cells (shard + j) mod their number,
- *        for j below the reach
+ * @param upByCell listed nodes that do not drain, by cell; a shard is held by the cells (shard + j) mod their
+ *        number, for j below the reach
  * @param openByProduct multigets without their final answer
  * @param sessions long-lived sessions
  */
--- a/src/main/java/gladewing/versions/Trial.java
+++ b/src/main/java/gladewing/versions/Trial.java
@@ -5,10 +5,10 @@
 import java.util.Locale;
 
 /**
- * Whether this router's own ends have become worse since a version began. Each kind of bad end is a test of its own,
- * that of two shares: with x of n before and y of m since, it is worse if y/m - x/n is beyond the margin and beyond so
- * many standard deviations, sqrt(p (1 - p) (1/n + 1/m)) with p = (x + y) / (n + m). It is looked at again and again,
- * so the deviations must be more than one look would need.
+ * Whether this router's own ends have become worse since a version began. Each kind of bad end is a test of
+ * its own, that of two shares: with x of n before and y of m since, it is worse if y/m - x/n is beyond the
+ * margin and beyond so many standard deviations, sqrt(p (1 - p) (1/n + 1/m)) with p = (x + y) / (n + m). It
+ * is looked at again and again, so the deviations must be more than one look would need.
  */
 final class Trial {
     private static final int BUCKETS = 30;
@@ -78,7 +78,7 @@
         }
         double share = (double) bad / all;
         if (allBefore < pace.least()) {
-            return share > HOPELESS ? told(what, bad, all, badBefore, allBefore) : null;
+            return share > HOPELESS && badBefore <= HOPELESS * allBefore ? told(what, bad, all, badBefore, allBefore) : null;
         }
         double pooled = (bad + badBefore) / (all + allBefore);
         double deviation = Math.sqrt(pooled * (1 - pooled) * (1.0 / all + 1.0 / allBefore));
--- a/src/main/java/gladewing/versions/Versions.java
+++ b/src/main/java/gladewing/versions/Versions.java
@@ -7,13 +7,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
+import java.util.SplittableRandom;
 
 /**
- * Which version is in force, and when another one is: no I/O, no clock, chance by its seed. What is offered is held
- * against what was seen; what has passed its own checks waits for its instant, begins when it is safe, is watched, and
- * is kept or goes back. At any time one is in force, at most one is next. What it wants done it says once, in due(),
- * and is told when it was done.
+ * Which version is in force, and when another one is: no I/O, no clock, chance by its seed. What is offered
+ * is held against what was seen; what has passed its own checks waits for its instant, begins when it is
+ * safe, is watched, and is kept or goes back. At any time one is in force, at most one is next. What it wants
+ * done it says once, in due(), and is told when it was done.
  */
 public final class Versions {
     private static final int MOST_REFUSED = 64;
@@ -23,7 +23,7 @@
     public enum Doing { NOTHING, SAVE_NEXT, BEGIN_NEXT, GO_BACK, SAVE }
 
     private final Pace pace;
-    private final Random random;
+    private final SplittableRandom random;
     private final Trial trial;
     private final Deque<Remembered.Refused> refused = new ArrayDeque<>();
     private Manifest inForce;
@@ -51,13 +51,15 @@
 
     public Versions(Pace pace, long seed) {
         this.pace = pace;
-        this.random = new Random(seed);
+        // Routers of one fleet may have seeds that lie side by side: their first numbers must not.
+        this.random = new SplittableRandom(seed);
         this.trial = new Trial(pace);
     }
 
     /**
-     * After a start: what was in force is so again, on trial if it was, unless it was on trial at too many starts: it
-     * may be what ends the program. The result is what is to be in force, null for the files of the start.
+     * After a start: what was in force is so again, on trial if it was, unless it was on trial at too many
+     * starts: it may be what ends the program. The result is what is to be in force, null for the files of
+     * the start.
      */
     public Manifest resume(Remembered told, Time now) {
         refused.addAll(told.refused());
@@ -69,7 +71,8 @@
             starts = told.starts() + 1;
             unsaved = true;
             if (told.starts() >= pace.starts()) {
-                back("on trial at " + told.starts() + " starts of the program, none of which saw it through", now);
+                back("on trial at " + told.starts() + " starts of the program, none of which saw it through",
+                        now);
             } else {
                 trial.begin(now);
             }
@@ -77,7 +80,9 @@
         return inForce;
     }
 
-    /** What was kept can't be used any more, say for a key that was taken out: it is not gone back to either. */
+    /**
+     * What was kept can't be used any more, say for a key that was taken out: it is not gone back to either.
+     */
     public void forget(Manifest unusable, String why) {
         refuse(unusable, Stage.AUTHENTIC, why, "");
         good = unusable.same(good) ? null : good;
@@ -146,7 +151,10 @@
         return null;
     }
 
-    /** A check of its own failed. What only can't be read or trusted says nothing of the version of that number. */
+    /**
+     * A check of its own failed. What only can't be read or trusted says nothing of the version of that
+     * number.
+     */
     public void failed(Manifest m, Stage stage, String reason, String place) {
         if (stage.compareTo(Stage.TEXTS) > 0) {
             seen(m);
@@ -206,8 +214,8 @@
     }
 
     /**
-     * What is to be done now. Beside is null where the next version may begin at this instant, else why not; it is
-     * asked for what needs() says.
+     * What is to be done now. Beside is null where the next version may begin at this instant, else why not;
+     * it is asked for what needs() says.
      */
     public Doing due(Time now, Ends ends, String beside) {
         trial.note(now, ends);
@@ -242,7 +250,8 @@
         if (beside != null) {
             patience = patience == null ? now.plus(pace.patience()) : patience;
             if (!now.before(patience)) {
-                refuse(next, Stage.BESIDE, "not safe for " + Math.round(pace.patience().millis()) + " ms: " + beside,
+                refuse(next, Stage.BESIDE, "not safe for " + Math.round(pace.patience().millis()) + " ms: "
+                        + beside,
                         "");
                 next = null;
                 saved = false;
@@ -260,7 +269,9 @@
         return unsaved && !saving ? Doing.SAVE : Doing.NOTHING;
     }
 
-    /** After SAVE_NEXT: the next one is on disk as if it were in force, or can't be. It begins in either case. */
+    /**
+     * After SAVE_NEXT: the next one is on disk as if it were in force, or can't be. It begins in either case.
+     */
     public void nextSaved(Time now) {
         saving = false;
         saved = true;
@@ -271,7 +282,9 @@
         }
     }
 
-    /** Instead of begun: it could not be put in force, for a fault of the program. What was in force still is. */
+    /**
+     * Instead of begun: it could not be put in force, for a fault of the program. What was in force still is.
+     */
     public void notBegun(String why) {
         dropped(next, why);
         next = null;
@@ -326,9 +339,8 @@
 
     private void answer(Answer answer) {
         // Put in anew, so that answers stay in the order in which they were last changed.
-        String id = answer.epoch() + "." + answer.number();
-        answers.remove(id);
-        answers.put(id, answer);
+        answers.remove(answer.digest());
+        answers.put(answer.digest(), answer);
         while (answers.size() > MOST_REFUSED) {
             answers.remove(answers.keySet().iterator().next());
         }
@@ -341,7 +353,9 @@
         return all;
     }
 
-    /** To be saved before the answers of now are sent. With SAVE_NEXT it is as it will be once that one began. */
+    /**
+     * To be saved before the answers of now are sent. With SAVE_NEXT it is as it will be once that one began.
+     */
     public Remembered remembered() {
         unsaved = false;
         boolean ahead = saving;
--- a/src/test/java/gladewing/durable/CrashFolder.java
+++ b/src/test/java/gladewing/durable/CrashFolder.java
@@ -11,8 +11,9 @@
 import java.util.TreeMap;
 
 /**
- * A folder in memory that fails or crashes at a chosen doing. What a crash leaves is one of the worst that a disk may:
- * any part of what was not synced, cut, zeroed or mixed, and any of the names' changes in any order.
+ * A folder in memory that fails or crashes at a chosen doing. What a crash leaves is one of the worst that a
+ * disk may: any part of what was not synced, cut, zeroed or mixed, and any of the names' changes in any
+ * order.
  */
 final class CrashFolder implements Folder {
     /** No exception that a program is meant to catch. */
--- a/src/test/java/gladewing/durable/StoreTest.java
+++ b/src/test/java/gladewing/durable/StoreTest.java
@@ -33,7 +33,8 @@
     private static Map<String, byte[]> texts(int version) {
         Map<String, byte[]> texts = new TreeMap<>();
         for (int text : new int[] {version, 1000 + version / 7}) {
-            texts.put(name(text), ("text " + text + " ").repeat(1 + text % 11).getBytes(StandardCharsets.UTF_8));
+            texts.put(name(text), ("text " + text + " ").repeat(1 + text % 11)
+                    .getBytes(StandardCharsets.UTF_8));
         }
         return texts;
     }
