Versions: command line, operators' pages, figures; nothing dear is done on the loop any more

Digests of texts in force are not made anew, limits of tables are matched by name, and what JSON and signatures load is loaded before the router listens.

--- a/src/main/java/gladewing/cli/Commands.java
+++ b/src/main/java/gladewing/cli/Commands.java
@@ -13,7 +13,8 @@
 import picocli.CommandLine.Spec;
 
 /** The operators' command line: what is not a way of running the router. */
-@Command(name = "gladewing", subcommands = {RoutesCommand.class, SettingsCommand.class, ExprCommand.class,
+@Command(name = "gladewing", subcommands = {RoutesCommand.class, SettingsCommand.class,
+        ControlCommand.class, StateCommand.class, ExprCommand.class,
         HelpCommand.class},
         description = "Tools for the router's settings.", mixinStandardHelpOptions = true)
 public final class Commands implements Runnable {
--- a/src/main/java/gladewing/control/Candidate.java
+++ b/src/main/java/gladewing/control/Candidate.java
@@ -7,6 +7,7 @@
 import gladewing.versions.Manifest;
 import gladewing.versions.Needs;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * All that one version makes, ready to be put in force between two passes.
@@ -16,4 +17,12 @@
  * @param table null where nothing is routed; patterns, live likewise
  */
 public record Candidate(Manifest manifest, Map<Kind, String> texts, Table table, Patterns patterns,
-        LiveSettings live, RouterSettings settings, Needs needs) { }
+        LiveSettings live, RouterSettings settings, Needs needs) {
+
+    /** By the digests that were signed: to make them anew of long texts would hold the loop up. */
+    Map<String, String> byDigest() {
+        Map<String, String> known = new TreeMap<>();
+        texts.forEach((kind, text) -> known.put(manifest.digest(kind), text));
+        return known;
+    }
+}
--- a/src/main/java/gladewing/control/Control.java
+++ b/src/main/java/gladewing/control/Control.java
@@ -66,6 +66,7 @@
     private final Map<Manifest, Candidate> ready = new LinkedHashMap<>();
     private WatchCall watch;
     private boolean connected;
+    private boolean lossTold;
     private Time heardAt;
     private Time inForceSince;
     private boolean saving;
@@ -110,10 +111,22 @@
         if (trouble != null) {
             tell("nothing is kept on disk: " + trouble);
         }
+        rehearse();
         connect();
         loop.after(TICK, this::tick);
     }
 
+    /**
+     * The first state and answer cost a hundred times the later ones: not in a pass that multigets wait for.
+     */
+    private void rehearse() {
+        keeper.state(versions.remembered(), router.nodes(), wire);
+        versions.notSaved();
+        Answer none = new Answer(0, 0, "", true, Stage.GOOD, "", "", false);
+        settings.keys().sign(settings.keys().newest(), wire.answers(name, versions.inForce(), List.of(none)));
+        page();
+    }
+
     private static String shown(Manifest of) {
         return of == null ? "the files of the command line" : "version " + of.id();
     }
@@ -147,8 +160,9 @@
         if (from != watch) {
             return;
         }
-        if (connected) {
-            LOG.warning("control service lost, " + shown(versions.inForce()) + " stays: " + why);
+        if (connected || !lossTold) {
+            lossTold = true;
+            LOG.warning("no control service, " + shown(versions.inForce()) + " stays: " + why);
         }
         connected = false;
         watch = null;
@@ -217,9 +231,9 @@
         }
         Map<String, String> known = new HashMap<>();
         for (Candidate c : List.of(inForce, good)) {
-            known.putAll(Workshop.byDigest(c.texts()));
+            known.putAll(c.byDigest());
         }
-        ready.values().forEach(c -> known.putAll(Workshop.byDigest(c.texts())));
+        ready.values().forEach(c -> known.putAll(c.byDigest()));
         known.putAll(workshop.known());
         work(() -> checked(push, known), made -> {
             if (made.candidate != null) {
@@ -275,6 +289,8 @@
     // What the versions decide
 
     private void tick() {
+        // First, so that a fault in this one does not end them all.
+        loop.after(TICK, this::tick);
         Time now = loop.pass();
         if (watch != null) {
             watch.check(now, settings.silence(), settings.wholeWithin());
@@ -299,7 +315,6 @@
         if (!saving && !saveDue) {
             send();
         }
-        loop.after(TICK, this::tick);
     }
 
     /** Whether to ask again what is due. */
@@ -366,7 +381,7 @@
         Map<String, String> texts = new LinkedHashMap<>();
         for (Candidate c : new Candidate[] {inForce, good, ready.get(versions.next())}) {
             if (c != null) {
-                texts.putAll(Workshop.byDigest(c.texts()));
+                texts.putAll(c.byDigest());
             }
         }
         work(() -> {
--- a/src/main/java/gladewing/control/Wire.java
+++ b/src/main/java/gladewing/control/Wire.java
@@ -12,6 +12,7 @@
 import com.networknt.schema.JsonSchemaFactory;
 import com.networknt.schema.SpecVersion;
 import com.networknt.schema.ValidationMessage;
+import gladewing.settings.Fault;
 import gladewing.versions.Answer;
 import gladewing.versions.Edit;
 import gladewing.versions.Kind;
@@ -178,6 +179,23 @@
         return node.put("key", m.key()).put("mac", m.mac());
     }
 
+    /** A message that takes a version back. */
+    public String withdraw(String site, long epoch, long number, String key, String mac) {
+        return json.createObjectNode().put("type", "withdraw").put("site", site).put("epoch", epoch)
+                .put("number", number).put("key", key).put("mac", mac).toString();
+    }
+
+    /** Whether a version is good, and every fault; untrusted is null where it is trusted. */
+    public String verdict(Manifest m, String untrusted, List<Fault> faults) {
+        ObjectNode node = json.createObjectNode().put("version", m.id())
+                .put("good", untrusted == null && faults.isEmpty()).put("untrusted", untrusted);
+        ArrayNode all = node.putArray("faults");
+        faults.forEach(f -> all.addObject().put("kind", f.file()).put("section", f.section()).put("key",
+                f.key())
+                .put("what", f.what()));
+        return node.toString();
+    }
+
     /** What the control service is told: answers, and what is in force. */
     public String answers(String router, Manifest inForce, List<Answer> answers) {
         ObjectNode node = json.createObjectNode().put("router", router);
--- a/src/main/java/gladewing/control/Workshop.java
+++ b/src/main/java/gladewing/control/Workshop.java
@@ -30,6 +30,7 @@
     private final Site site;
     /** By kind, the text of the file that the router was started with; none where it was started without. */
     private final Map<Kind, String> base;
+    private final Map<String, String> known;
     /** Descriptors that sessions may take; negative where this router keeps none. */
     private final int descriptors;
 
@@ -37,6 +38,7 @@
         this.config = config;
         this.base = new EnumMap<>(Kind.class);
         this.base.putAll(base);
+        known = byDigest(base);
         this.descriptors = descriptors;
         site = new Site(config.products(), config.settings().products(), config.tenants(), config.shards(),
                 config.settings().routers());
@@ -100,7 +102,7 @@
 
     /** The texts of the start, by digest. */
     public Map<String, String> known() {
-        return byDigest(base);
+        return known;
     }
 
     /** By digest, what later changes may be against. */
--- a/src/main/java/gladewing/routes/Table.java
+++ b/src/main/java/gladewing/routes/Table.java
@@ -161,15 +161,18 @@
     public void follow(Table before) {
         // All routes that name a limit and act share one, and so do those that observe: one look each will
         // do.
-        Map<String, KeyedLimit> old = new HashMap<>();
+        Map<String, KeyedLimit> acting = new HashMap<>();
+        Map<String, KeyedLimit> observing = new HashMap<>();
         for (Route route : before.routes) {
             if (route.limit != null) {
-                old.putIfAbsent(route.observes + route.limitName, route.limit);
+                (route.observes ? observing : acting).putIfAbsent(route.limitName, route.limit);
             }
         }
         for (Route route : routes) {
-            if (route.limit != null && route.limit.continues(old.get(route.observes + route.limitName))) {
-                route.limit = old.get(route.observes + route.limitName);
+            KeyedLimit old = route.limit == null ? null
+                    : (route.observes ? observing : acting).get(route.limitName);
+            if (old != null && route.limit.continues(old)) {
+                route.limit = old;
             }
         }
     }
--- a/src/main/java/gladewing/versions/Keys.java
+++ b/src/main/java/gladewing/versions/Keys.java
@@ -39,6 +39,10 @@
         return fault(manifest.key(), manifest.canonical(), manifest.mac());
     }
 
+    public boolean has(String key) {
+        return secrets.containsKey(key);
+    }
+
     /** The name of the key that was stated last, by which this side signs. */
     public String newest() {
         String newest = null;
--- a/src/main/java/gladewing/versions/Trial.java
+++ b/src/main/java/gladewing/versions/Trial.java
@@ -78,7 +78,8 @@
         }
         double share = (double) bad / all;
         if (allBefore < pace.least()) {
-            return share > HOPELESS && badBefore <= HOPELESS * allBefore ? told(what, bad, all, badBefore, allBefore) : null;
+            boolean hopeless = share > HOPELESS && badBefore <= HOPELESS * allBefore;
+            return hopeless ? told(what, bad, all, badBefore, allBefore) : null;
         }
         double pooled = (bad + badBefore) / (all + allBefore);
         double deviation = Math.sqrt(pooled * (1 - pooled) * (1.0 / all + 1.0 / allBefore));
--- a/src/test/java/gladewing/serve/ControlServeTest.java
+++ b/src/test/java/gladewing/serve/ControlServeTest.java
@@ -107,7 +107,9 @@
     }
 
     private void answered(String words) throws Exception {
-        service.until(words).forEach(answer -> told("answer", answer.replaceAll(": (only )?[0-9]+ (ends|of [0-9]+).*since.*", "")));
+        for (String answer : service.until(words)) {
+            told("answer", answer.replaceAll(": (only )?[0-9]+ (ends|of [0-9]+).*since.*", ""));
+        }
     }
 
     @AfterEach
@@ -188,7 +190,8 @@
         service.beats = true;
         told("", "back with lower numbers; a new epoch; a product taken away while it is open");
         String held = "{\"shards\":[{\"shard\":1,\"weight\":1.0}],\"q\":\"hold\"}";
-        Client holds = new Client().send("POST /order HTTP/1.1\r\nX-Request-ID: held\r\nX-Timeout-Ms: 3000\r\n"
+        Client holds = new Client().send("POST /order HTTP/1.1\r\nX-Request-ID: held\r\n"
+                + "X-Timeout-Ms: 3000\r\n"
                 + "Content-Length: " + held.length() + "\r\n\r\n" + held);
         service.line(service.set(1, 2, Kind.ROUTES, 9, door("x")));
         service.line(service.set(2, 1, Kind.SETTINGS, 1, "[products]\nclosed = order\n"));
@@ -259,6 +262,18 @@
         assertEquals("", shut("x"));
         service.line(service.set(1, 1, Kind.ROUTES, 1, door("x")));
         assertTrue(service.until("turned down before").get(0).startsWith("nack 1.1 trial"));
+        // The next one has discovery elsewhere; taken back while on trial, it is where it was.
+        Discovery elsewhere = new Discovery();
+        elsewhere.list(1, true, target("a", a.endpoint(), 0, "up"), target("b", b.endpoint(), 1, "up"));
+        service.line(service.set(1, 2, Kind.SETTINGS, 1, "[discovery]\naddress = 127.0.0.1:"
+                + elsewhere.listener.getLocalPort() + "\n[needs]\nnodes = 2\n"));
+        service.until("ack 1.2 trial");
+        elsewhere.awaitCall(2);
+        int calls = discovery.calls;
+        service.line(service.withdraw(1, 2));
+        service.until("nack 1.2 trial, not on disk: taken back by the control service");
+        discovery.awaitCall(calls + 1);
+        elsewhere.listener.close();
         asking.set(false);
         load.join();
     }
