--- a/src/main/java/gladewing/model/Tools.java
+++ b/src/main/java/gladewing/model/Tools.java
@@ -1,13 +1,21 @@
 package gladewing.model;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import gladewing.settings.IniFile;
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -21,11 +29,14 @@
         description = "Plays days of a model of the fleet, in virtual time, with the module itself.",
         footer = {"", "  model run day.ini",
         "  model compare day.ini --seeds 10 --policies module,least,oracle",
-            "  model chaos day.ini --days 100 --troubles 3"})
+            "  model chaos day.ini --days 100 --troubles 3",
+            "  model experiment sizes.ini --results sizes.jsonl"})
 public final class Tools implements Runnable {
     static final int GOOD = 0;
     static final int FAULTY = 1;
     private static final int SHRINKING = 60;
+    /** Of what makes the figures of a run: rows of another one are not the same runs. */
+    private static final String VERSION = "1";
 
     @Spec
     private CommandSpec spec;
@@ -44,7 +55,8 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "Missing a subcommand: run, compare or chaos");
+        throw new ParameterException(spec.commandLine(),
+                "Missing a subcommand: run, compare, chaos or experiment");
     }
 
     private PrintWriter out() {
@@ -137,6 +149,93 @@
         return broken == 0 ? GOOD : FAULTY;
     }
 
+    @Command(name = "experiment", mixinStandardHelpOptions = true,
+            description = "Does the runs that a plan still "
+            + "lacks, and prints a line a point and policy. Killed, it goes on where it was when it is "
+            + "called again.")
+    int experiment(@Parameters(paramLabel = "EXPERIMENT.ini") Path file,
+            @Option(names = "--results", paramLabel = "FILE.jsonl", required = true,
+                    description = "Rows are added to it; those that are there are not done again.")
+                    Path results,
+            @Option(names = "--threads", defaultValue = "4") int threads,
+            @Option(names = "--csv",
+            description = "Prints values between commas.") boolean csv) throws IOException {
+        IniFile plan = IniFile.read(file.toString());
+        Path day = file.resolveSibling(plan.section("experiment").text("day", "day.ini"));
+        if (!Files.isReadable(day)) {
+            plan.fault("experiment", "day", day + " can't be read");
+        }
+        Experiment.Read read = Experiment.read(plan, Files.isReadable(day) ? Files.readString(day) : "");
+        if (read.experiment() == null) {
+            read.faults().forEach(spec.commandLine().getErr()::println);
+            return FAULTY;
+        }
+        Experiment experiment = read.experiment();
+        try (Results rows = new Results(results)) {
+            for (List<Experiment.Run> due = experiment.due(rows.revenue()); !due.isEmpty();
+                    due = experiment.due(rows.revenue())) {
+                play(experiment, due, rows, threads);
+            }
+            return table(experiment, rows, csv);
+        }
+    }
+
+    /** Rows come in the order of the plan, whatever the number of threads. */
+    private void play(Experiment experiment, List<Experiment.Run> due, Results rows,
+            int threads) throws IOException {
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<Figures>> running = new ArrayList<>();
+            due.forEach(run -> running.add(pool.submit(() -> experiment.play(run))));
+            long begun = System.nanoTime();
+            for (int i = 0; i < due.size(); i++) {
+                rows.add(due.get(i), running.get(i).get(), VERSION);
+                double seconds = (System.nanoTime() - begun) / 1e9;
+                spec.commandLine().getErr().printf(Locale.ROOT, "%d of %d runs, %.0f s left%n", i + 1,
+                        due.size(),
+                        seconds / (i + 1) * (due.size() - i - 1));
+            }
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException fault) {
+            throw new IllegalStateException(fault.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private int table(Experiment experiment, Results rows, boolean csv) {
+        String form = csv ? "%s,%s,%s,%s,%s,%s,%s,%s%n" : "%-28s %-8s %6s %9s %9s %9s %9s %7s%n";
+        out().printf(form, "point", "policy", "seeds", "revenue", "+-", "p50", "p99", "broken");
+        int broken = 0;
+        for (Experiment.Point point : experiment.points) {
+            for (String policy : experiment.policies) {
+                List<Double> revenue = new ArrayList<>();
+                List<Double> half = new ArrayList<>();
+                List<Double> high = new ArrayList<>();
+                int rules = 0;
+                for (long seed = 1; rows.rows().containsKey(experiment.run(point, policy, seed)
+                        .id()); seed++) {
+                    JsonNode row = rows.rows().get(experiment.run(point, policy, seed).id());
+                    revenue.add(row.get("revenue").asDouble());
+                    half.add(row.get("p50_ms").asDouble());
+                    high.add(row.get("p99_ms").asDouble());
+                    rules += row.get("rules_broken").asInt();
+                }
+                broken += policy.equals(World.MODULE) ? rules : 0;
+                Pairs.Mean mean = Pairs.Mean.of(revenue);
+                out().printf(form, csv ? point.toString().replace(",", ";") : point, policy, revenue.size(),
+                        number(mean.mean(), 4), number(mean.half(), 4), number(Pairs.Mean.of(half).mean(), 2),
+                        number(Pairs.Mean.of(high).mean(), 1), rules);
+            }
+        }
+        return broken == 0 ? GOOD : FAULTY;
+    }
+
+    private static String number(double value, int digits) {
+        return Double.isInfinite(value) ? "-" : String.format(Locale.ROOT, "%." + digits + "f", value);
+    }
+
     private static Pairs.Mean mean(List<Figures> of, java.util.function.ToDoubleFunction<Figures> what) {
         List<Double> values = new ArrayList<>();
         of.forEach(f -> values.add(what.applyAsDouble(f)));
--- a/src/test/java/gladewing/model/ModelTest.java
+++ b/src/test/java/gladewing/model/ModelTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gladewing.router.Trace;
 import gladewing.settings.IniFile;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -216,18 +217,44 @@
         assertTrue(run("compare", good.toString(), "--seeds", "2", "--policies", "module,least")
                 .startsWith("0 pol"));
         assertTrue(run("chaos", good.toString(), "--days", "2").startsWith("0 2 days, 0 with a broken rule"));
-        assertEquals("""
-                1 bad.ini [fleet] reach: '9', wanted: a whole number from 1 to 1
-                bad.ini [trouble a] kind: 'slwo', wanted: slow or stall or silent or kill or deploy or list-down
-                bad.ini [product p] quoted: it is longer than limit, 3000.0 ms
-                bad.ini [loud]: no such section, wanted: [fleet], [load], [run], [product NAME] or [trouble NAME]
-                bad.ini [fleet] service: 'pareto 1ms 0.5', wanted: TIME, exponential TIME, lognormal TIME SIGMA \
-                (to 3) or pareto TIME INDEX (over 1, to 10); TIME is the mean
-                """, run("run", bad.toString()).replace(folder + "/", ""));
+        assertEquals(Trace.kept("model-faults.txt"), run("run", bad.toString()).replace(folder + "/", ""));
         assertTrue(run("run", good.toString(), "--policy", "best").startsWith("2 There is no policy best"));
         assertTrue(run("play").startsWith("2 Unmatched argument"));
     }
 
+    /**
+     * Killed in the middle of a row, it does what it lacks and nothing twice; its rows are as without the
+     * kill.
+     */
+    @Test
+    void anExperimentGoesOnWhereItWasKilled(@TempDir Path folder) throws IOException {
+        Files.writeString(folder.resolve("day.ini"), SMALL.replace("15s", "2s"));
+        Path plan = folder.resolve("plan.ini");
+        Files.writeString(plan,
+                "[experiment]\npolicies = module, two\nseeds = 2\n[vary]\nload.rate = 50, 100\n"
+                + "product sheet.least = 1\n");
+        Path rows = folder.resolve("rows.jsonl");
+        String whole = run("experiment", plan.toString(), "--results", rows.toString(), "--csv");
+        assertTrue(whole.contains("8 of 8 runs, 0 s left"), whole);
+        List<String> lines = Files.readAllLines(rows);
+        assertEquals(8, lines.size());
+        Files.writeString(rows, String.join("\n", lines.subList(0, 5)) + "\n" + lines.get(5).substring(0,
+                40));
+        String rest = run("experiment", plan.toString(), "--results", rows.toString(), "--csv", "--threads",
+                "1");
+        assertTrue(rest.contains("3 of 3 runs, 0 s left"), rest);
+        assertEquals(lines, Files.readAllLines(rows));
+        assertEquals(whole.replaceAll(".* left\n", ""), rest.replaceAll(".* left\n", ""));
+        // A width that can't be had is tried for up to the most seeds, for every policy as many.
+        Files.writeString(plan,
+                "[experiment]\npolicies = module, two\nseeds = 2\nmost-seeds = 5\nwidth = 0.000001\n"
+                + "troubles = 2\n[vary]\nload.rate = 900\n");
+        String wide = run("experiment", plan.toString(), "--results", rows.toString(), "--csv");
+        assertTrue(wide.contains("load.rate=900,module,5,") && wide.contains("load.rate=900,two,5,"), wide);
+        Files.writeString(plan, "[experiment]\npolicies = best\n[vary]\nrate = 1\n[else]\n");
+        assertEquals(3, run("experiment", plan.toString(), "--results", rows.toString()).lines().count());
+    }
+
     private static String run(String... args) {
         StringWriter out = new StringWriter();
         PrintWriter to = new PrintWriter(out, true);
