A version that expires while it waits does not begin; other sessions' limits tested in the plan

Need: docs/control.md says that an expired version is not begun; only its arrival was looked at. Change: what waits is looked at each tick. A test of a plan whose settings change while sessions are open: each leg takes off its node what it put there. Result: both tests green; without the look the first is red.

--- a/src/main/java/gladewing/control/Control.java
+++ b/src/main/java/gladewing/control/Control.java
@@ -295,6 +295,7 @@
         if (watch != null) {
             watch.check(now, settings.silence(), settings.wholeWithin());
         }
+        versions.expire(unixMillis.getAsLong());
         boolean more = true;
         while (more) {
             Manifest next = versions.next();
--- a/src/main/java/gladewing/versions/Versions.java
+++ b/src/main/java/gladewing/versions/Versions.java
@@ -213,6 +213,16 @@
         }
     }
 
+    /**
+     * One that has waited beyond its time does not begin; one that is being written is looked at after that.
+     */
+    public void expire(long unixMillis) {
+        if (next != null && !saving && next.expires() > 0 && unixMillis >= next.expires()) {
+            dropped(next, "it has expired");
+            next = null;
+        }
+    }
+
     /**
      * What is to be done now. Beside is null where the next version may begin at this instant, else why not;
      * it is asked for what needs() says.
--- a/src/test/java/gladewing/live/LivePlanTest.java
+++ b/src/test/java/gladewing/live/LivePlanTest.java
@@ -175,6 +175,34 @@
     }
 
     /** A limit refuses before anything is opened; one whose node never answers is refused in time. */
+    /**
+     * Other settings while sessions are open: these stay, and each leg takes off its node what it put there.
+     */
+    @Test
+    void otherSettingsHoldForWhatComesNext() {
+        LiveWorld world = new LiveWorld(2, LiveWorld.settings(10, 100, 1));
+        LiveWorld.Node node = world.add(0, false);
+        for (int i = 0; i < 3; i++) {
+            world.ask(i, 0);
+            world.step(100_000);
+        }
+        world.step(100_000);
+        world.step(100_000);
+        assertEquals(3, world.accepted);
+        LiveSettings s = LiveWorld.settings(2, 100, 1);
+        world.plan.take(new LiveSettings(s.sessions(), s.perTenant(), s.perNode(), s.legs(), s.handshakes(),
+                0.5,
+                s.heldBytes(), s.heldBytesInAll(), s.longestMessage(), s.opening(), s.parked(), s.returning(),
+                s.closing(), s.silence(), s.attempts(), s.repeats(), s.backOff(), s.grace(), s.coldShare(),
+                s.coldSpan(), s.routers()));
+        world.ask(4, 0);
+        assertEquals(1, world.refused);
+        assertEquals(3, world.accepted);
+        assertEquals(0.3, node.weight, 1e-9);
+        world.die(node);
+        assertEquals(0, node.weight, 1e-9);
+    }
+
     @Test
     void whatIsBeyondALimitIsRefusedAtOnce() {
         LiveWorld world = new LiveWorld(2, LiveWorld.settings(10, 100, 1));
--- a/src/test/java/gladewing/versions/VersionsTest.java
+++ b/src/test/java/gladewing/versions/VersionsTest.java
@@ -59,6 +59,21 @@
         assertEquals(Trace.kept("versions.txt"), w.told.toString());
     }
 
+    @Test
+    void whatExpiresWhileItWaitsNeverBegins() {
+        VersionWorld w = new VersionWorld(PACE, 1);
+        w.unsafe = "not now";
+        Manifest m = set(1, 1, Kind.ROUTES, 1, "a");
+        w.offer(new Manifest(m.site(), 1, 1, 2000, m.entries(), "k", "m")).run(5, 5, 0, 0);
+        w.versions.expire(1999);
+        assertNotNull(w.versions.next());
+        w.versions.expire(2000);
+        w.unsafe = null;
+        w.run(5, 5, 0, 0);
+        assertNull(w.versions.inForce());
+        assertEquals("nack 1.1 order: it has expired", w.answers.get(0).toString());
+    }
+
     @Test
     void theTestOfATrialStandsByItsFigures() {
         // 1 % before; since then 3.05 % of 2000 is worse by 2 in 100 and by more than 4 deviations, 2.95 % is
