Versions: at most ten lines a second in the log of what a control service can bring about

Need: a control service that sends broken messages without end would write a line for each. Change: ten lines a second, then a count of the rest.

--- a/src/main/java/gladewing/control/Control.java
+++ b/src/main/java/gladewing/control/Control.java
@@ -41,6 +41,8 @@
     /** Lists may change many times a second; what is on disk may be so far behind. */
     private static final Span NODES_BEHIND = Span.ofMillis(1000);
     private static final int MOST_ANSWERS = 64;
+    private static final Span SECOND = Span.ofMillis(1000);
+    private static final int MOST_LINES = 10;
 
     private final Loop loop;
     private final Bootstrap bootstrap;
@@ -79,6 +81,8 @@
     private final Map<String, Answer> answers = new LinkedHashMap<>();
     private boolean answering;
     private Span longestApply = Span.ZERO;
+    private Time toldSince;
+    private int toldOften;
 
     /** The seed differs from router to router: what is spread over a fleet is spread by it. */
     public Control(Loop loop, Bootstrap bootstrap, ControlSettings settings, String name, Router router,
@@ -135,6 +139,24 @@
         LOG.info(what);
     }
 
+    /**
+     * What a control service can bring about as often as it likes: so many lines a second, and a count of the
+     * rest.
+     */
+    private void tellOften(String what) {
+        Time now = loop.pass();
+        if (toldSince == null || now.since(toldSince).longerThan(SECOND)) {
+            if (toldOften > MOST_LINES) {
+                tell("and " + (toldOften - MOST_LINES) + " more of the control service's messages");
+            }
+            toldSince = now;
+            toldOften = 0;
+        }
+        if (++toldOften <= MOST_LINES) {
+            tell(what);
+        }
+    }
+
     // The watch
 
     private void connect() {
@@ -191,13 +213,12 @@
                 withdrawn(read.withdrawal());
             }
             from.goOn();
-        }, fault -> new Wire.Message(null, null, new Wire.Bad(Stage.READABLE, "a fault of the program: "
-                + fault,
-                -1, -1)));
+        }, fault -> new Wire.Message(null, null, new Wire.Bad(Stage.READABLE,
+                "a fault of the program: " + fault, -1, -1)));
     }
 
     private void bad(Wire.Bad bad) {
-        LOG.warning("a message of the control service is turned down: " + bad.reason());
+        tellOften("a message of the control service is turned down: " + bad.reason());
         if (bad.number() >= 0) {
             add(new Answer(bad.epoch(), bad.number(), "", false, bad.stage(), bad.reason(), "", false));
         }
@@ -212,7 +233,7 @@
         if (fault == null) {
             versions.withdraw(w.epoch(), w.number());
         } else {
-            LOG.warning("a withdrawal of " + w.epoch() + "." + w.number() + " is not followed: " + fault);
+            tellOften("a withdrawal of " + w.epoch() + "." + w.number() + " is not followed: " + fault);
         }
     }
 
@@ -414,7 +435,7 @@
     // Answers
 
     private void add(Answer answer) {
-        tell("version " + answer.epoch() + "." + answer.number() + ": " + answer);
+        tellOften("version " + answer.epoch() + "." + answer.number() + ": " + answer);
         String id = answer.digest().isEmpty() ? answer.epoch() + "." + answer.number() : answer.digest();
         answers.remove(id);
         answers.put(id, answer);
