Cold nodes get chance parts from thin routers; held multigets ask nodes once

Cause: room() cuts the cold budget to whole parts, and each of 106 routers has less than one (warmMost 0.3 to 1.4 parts a window, times 0.2 to 0.5), so all together send nothing. Now such a share is a chance, drawn once a window, at half of the stated multiple since draws of scores of routers scatter, and goes first while it lasts. What is held is reviewed each turn, its news is old after a tenth of the quoted time, and the picked nodes are asked anew. Now a part asks once before each transmission. Ruled out: connections (none at its limit), the cap on open multigets (held 13 to 130 of 156 in the lines looked at).

--- a/src/main/java/gladewing/router/Node.java
+++ b/src/main/java/gladewing/router/Node.java
@@ -27,6 +27,10 @@
     double toldTimes;
     /** Only while it is cold: a ring a node is much memory in a large fleet. */
     BucketRing sent;
+    /** The chance drawn for this window, and when; and whether the node's room is by chance alone. */
+    double drawn;
+    Time drawnAt;
+    boolean byChance;
     /** Of the cover that is being made: whether this node is in it, and how many parts it covers. */
     int gathered;
     int covers;
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -254,6 +254,13 @@
                 && (node.newsAt == null || now.since(node.newsAt).longerThan(shortestQuoted.times(0.1)));
     }
 
+    /** Once before each transmission of a part: where many routers hold theirs in a jam, they ask no more. */
+    private static boolean mayAsk(List<Part> parts) {
+        boolean may = parts.stream().anyMatch(p -> p.askedBefore <= p.sent.size());
+        parts.forEach(p -> p.askedBefore = p.sent.size() + 1);
+        return may;
+    }
+
     /** Further transmissions are only for nodes known to have room; those that might are asked. */
     private boolean knownLight(Node node, int than) {
         if (stale(node)) {
@@ -546,9 +553,21 @@
         return Math.min(1, from + (1 - from) * Math.max(0, age));
     }
 
-    /** Work that may still go to a cold node in this window: a warm one's, cut to the node's warmth. */
-    private double coldRoom(Node node) {
-        return warmth(node) * warmMost * settings.rules().fallMultiple() * 0.75 - node.sent.sum(now, 0);
+    /**
+     * Parts that may still go to a cold node in this window: a warm one's, cut to the node's warmth. What is
+     * less than one is a chance, drawn once a window: of scores of routers none could else send any, and the
+     * node would stand unused until it is warm by age alone.
+     */
+    private int coldRoom(Node node, double work) {
+        if (node.drawnAt == null || now.since(node.drawnAt).longerThan(settings.rules().fallSpan())) {
+            node.drawnAt = now;
+            node.drawn = random.nextDouble();
+        }
+        double share = warmth(node) * warmMost * settings.rules().fallMultiple();
+        node.byChance = share * 0.75 < work;
+        // Half: what scores of routers draw scatters by several parts, and the sum must stay within.
+        double most = share * (node.byChance ? 0.5 : 0.75) - node.sent.sum(now, 0);
+        return (int) Math.floor(most / work + (node.byChance ? node.drawn : 0));
     }
 
     /**
@@ -834,7 +853,8 @@
             for (Node node : candidates) {
                 int covers = room(node, unsent.get(0).of.product);
                 int doubt = strain(node) + (fit(node) ? 0 : node.failures * OVERFULL * 2);
-                int rank = covers - doubt * (unsent.size() + 1);
+                // A chance is lost with its window, so it goes first: one part, from few of the routers.
+                int rank = covers - doubt * (unsent.size() + 1) + (node.byChance ? unsent.size() : 0);
                 if (covers > 0 && rank >= best) {
                     if (rank > best) {
                         widest.clear();
@@ -848,10 +868,9 @@
             }
             Node pick = widest.get(random.nextInt(widest.size()));
             int room = room(pick, unsent.get(0).of.product);
-            Pick kept = lastResort || copies ? null : new Pick(pick, unsent.get(0).of.ref >= 0
-                    && stale(pick));
-            if (kept != null && unsent.get(0).of.picks.add(kept) && kept.asked) {
-                probe(pick);
+            Pick kept = lastResort || copies ? null : new Pick(pick);
+            if (kept != null) {
+                unsent.get(0).of.picks.add(kept);
             }
             for (Iterator<Part> parts = unsent.iterator(); room > 0 && parts.hasNext(); ) {
                 Part p = parts.next();
@@ -867,6 +886,10 @@
                     }
                 }
             }
+            if (kept != null && kept.parts.get(0).of.ref >= 0 && stale(pick) && mayAsk(kept.parts)) {
+                kept.asked = true;
+                probe(pick);
+            }
             if (kept != null || !ready(pick) || room > 0) {
                 candidates.remove(pick);
             }
@@ -885,10 +908,11 @@
     }
 
     private int room(Node node, int product) {
+        node.byChance = false;
         if (node.covers <= 0 || warmth(node) >= 1) {
             return node.covers;
         }
-        return (int) Math.min(node.covers, Math.max(0, coldRoom(node) / partTimes.work(now, product, 10)));
+        return Math.max(0, Math.min(node.covers, coldRoom(node, partTimes.work(now, product, 10))));
     }
 
     /** The last permitted transmission of a part is kept for a node that is not in doubt. */
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -283,6 +283,26 @@
         trace.matches("strain");
     }
 
+    /** In a jam a hundred routers hold some each: each asking every tenth of a quoted time was a storm. */
+    @Test
+    void whatIsHeldAsksOnceAndNotAgainAndAgain() throws IOException {
+        trace.reach = 1;
+        trace.probes = true;
+        trace.start().nodes(0, 1);
+        somethingFails(0);
+        trace.to(330).say("one tells of none waiting and one of eleven, whenever it is asked");
+        for (int at = 330; at < 1200; at += 5) {
+            trace.to(at);
+            if (at == 330) {
+                trace.take(3000, 0, 1);
+            }
+            for (int node = 0; node < 2; node++) {
+                trace.router().probed(node, Outcome.OK, new Load(11 * node, Double.NaN, 100, Double.NaN, 0.5));
+            }
+        }
+        trace.matches("held-asks");
+    }
+
     @Test
     void nothingIsBegunWhileAPartHasOnlyStrainedHolders() throws IOException {
         trace.reach = 1;
