Nodes are asked for what may begin alone; nearly done late multigets go on in a jam

What the storm of probes needed is another place: cover() asked for every pick, also of multigets that mayBegin() then held, for a part with only overfull holders; review() dropped the picks as their news grew old, and the next turn asked anew. Now sendPicks() asks, once the multiget may begin, and review() keeps a pick until its news is bad.

--- a/src/main/java/gladewing/router/Part.java
+++ b/src/main/java/gladewing/router/Part.java
@@ -13,8 +13,6 @@
     int out;
     boolean in;
     boolean picked;
-    /** Nodes were asked for news on its behalf before the transmission of this number, from 1; 0 for none. */
-    int askedBefore;
     /** No further transmission before it, by the pattern's wait; null for none. */
     Time notBefore;
 
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -10,10 +10,9 @@
 
 /**
  * Every decision of one query router: which data node gets which parts, when to send again, when to answer,
- * whom to turn away. Called within turns: turn(now), then what came in (take gives a handle, and its part,
- * outcome and clientLeft go on from there; the list, probes and wake come to the router), then endTurn, which
- * sends. What it does leaves by the Port it was made with; what it is told at its start is Settings. Calls
- * come from one thread. The ordinary path: the fit, ready node covering most unsent parts, ties at random.
+ * whom to turn away. Called by one thread in turns: turn(now), then what came in (take gives a handle: its
+ * part, outcome and clientLeft go on from there; the list, probes and wake come here), then endTurn, which
+ * sends by the Port. The ordinary path: the fit, ready node covering most unsent parts, ties at random.
  */
 public final class QueryRouter {
     /** The design's starting value, here the longest that a failed node waits for its next trial. */
@@ -254,13 +253,6 @@
                 && (node.newsAt == null || now.since(node.newsAt).longerThan(shortestQuoted.times(0.1)));
     }
 
-    /** Once before each transmission of a part: where many routers hold theirs in a jam, they ask no more. */
-    private static boolean mayAsk(List<Part> parts) {
-        boolean may = parts.stream().anyMatch(p -> p.askedBefore <= p.sent.size());
-        parts.forEach(p -> p.askedBefore = p.sent.size() + 1);
-        return may;
-    }
-
     /** Further transmissions are only for nodes known to have room; those that might are asked. */
     private boolean knownLight(Node node, int than) {
         if (stale(node)) {
@@ -276,12 +268,12 @@
         return node.askedAt != null && !now.since(node.askedAt).longerThan(sweep);
     }
 
-    /** What was kept back for a node whose news is bad, or grows old, goes back to the cover. */
+    /** What was kept back for a node whose news is bad goes back to the cover. */
     private void review(Multiget m) {
         for (Iterator<Pick> all = m.picks.iterator(); all.hasNext(); ) {
             Pick pick = all.next();
-            if (!ready(pick.node) || !fit(pick.node) || !asking(pick.node)
-                    && (stale(pick.node) || pick.asked && strain(pick.node) > 0)) {
+            if (!ready(pick.node) || !fit(pick.node) || !asking(pick.node) && pick.asked
+                    && strain(pick.node) > 0) {
                 pick.parts.forEach(p -> p.picked = false);
                 all.remove();
             }
@@ -289,7 +281,15 @@
         }
     }
 
+    /** Nodes are asked for what may begin alone: in a jam a hundred routers hold much that may not. */
     private void sendPicks(Multiget m) {
+        m.picks.stream().filter(p -> stale(p.node)).forEach(p -> {
+            p.asked = true;
+            probe(p.node);
+        });
+        if (!begun(m) && m.picks.stream().anyMatch(p -> asking(p.node))) {
+            return;
+        }
         for (Iterator<Pick> all = m.picks.iterator(); all.hasNext(); ) {
             Pick pick = all.next();
             if (!asking(pick.node)) {
@@ -311,12 +311,14 @@
      * others did would be wasted, and in a jam every router would be at work on multigets that none can end.
      */
     private boolean mayBegin(Multiget m, List<Part> unsent) {
-        return m.firstSent != null || m.row.leastShare() < m.row.wholeShare()
-                || m.picks.stream().noneMatch(p -> asking(p.node))
-                && unsent.stream().noneMatch(this::onlyStrained)
+        return begun(m) || unsent.stream().noneMatch(this::onlyStrained)
                 && m.stepParts().stream().noneMatch(this::onlyErring);
     }
 
+    private static boolean begun(Multiget m) {
+        return m.firstSent != null || m.row.leastShare() < m.row.wholeShare();
+    }
+
     /** Held by none that is fit, but by one that errs at once: its answer, or its end, is soon had. */
     private boolean onlyErring(Part part) {
         return !part.in && !hasFitNode(part) && fleet.holders(part).stream().anyMatch(n -> n.listed
@@ -553,23 +555,6 @@
         return Math.min(1, from + (1 - from) * Math.max(0, age));
     }
 
-    /**
-     * Parts that may still go to a cold node in this window: a warm one's, cut to the node's warmth. What is
-     * less than one is a chance, drawn once a window: of scores of routers none could else send any, and the
-     * node would stand unused until it is warm by age alone.
-     */
-    private int coldRoom(Node node, double work) {
-        if (node.drawnAt == null || now.since(node.drawnAt).longerThan(settings.rules().fallSpan())) {
-            node.drawnAt = now;
-            node.drawn = random.nextDouble();
-        }
-        double share = warmth(node) * warmMost * settings.rules().fallMultiple();
-        node.byChance = share * 0.75 < work;
-        // Half: what scores of routers draw scatters by several parts, and the sum must stay within.
-        double most = share * (node.byChance ? 0.5 : 0.75) - node.sent.sum(now, 0);
-        return (int) Math.floor(most / work + (node.byChance ? node.drawn : 0));
-    }
-
     /**
      * The most that a warm node lately took in a window, kept while none is warm: a fleet that restarts as a
      * whole would otherwise stand unused. It fades, as the most of routers at different times add up to more.
@@ -661,11 +646,12 @@
     }
 
     /**
-     * Where failing after the quoted time costs more than a late answer earns, it is the end; and where parts
-     * are held for want of places, a late answer would push one in time past its own quoted time.
+     * Where failing after the quoted time costs more than a late answer earns, it is the end; and in a jam,
+     * where what is left of it takes places from a fresh one, unless it earns as much for these.
      */
     private boolean worthLate(Multiget m) {
-        return !jammed() && m.row.lateRevenue() > settings.lateFailPrice();
+        return m.row.lateRevenue() > settings.lateFailPrice() && (!jammed()
+                || m.parts.size() - m.stepFrom - m.partsIn <= m.row.lateRevenue() * m.parts.size());
     }
 
     /** Parts held for want of places, or, where a router meets few multigets, most of its own ends. */
@@ -813,18 +799,19 @@
                 review(m);
             }
             List<Part> unsent = wanting(m, copies);
-            cover(unsent, false, copies);
+            cover(unsent, false, copies, Set.of());
             if (!copies && mayBegin(m, unsent)) {
                 sendPicks(m);
             }
             boolean late = !now.plus(typical.times(2)).before(m.quotedAt);
-            boolean unbegun = m.firstSent == null && m.row.leastShare() >= m.row.wholeShare();
+            boolean unbegun = !begun(m);
             if (!copies && late) {
                 unsent.removeIf(this::hasFitNode);
-                cover(unsent, true, copies);
+                cover(unsent, true, copies, Set.of());
             } else if (!copies && unbegun) {
                 // What only tries a doubtful part has not begun: the rest waits, and is not done in vain.
-                cover(new ArrayList<>(unsent.stream().filter(this::onlyErring).toList()), true, copies);
+                List<Part> doubtful = unsent.stream().filter(this::onlyErring).toList();
+                cover(new ArrayList<>(doubtful), true, copies, Set.of());
                 unsent.removeIf(p -> p.out > 0);
                 m.firstSent = null;
             }
@@ -836,10 +823,6 @@
     }
 
     /** The design's loop. As the last resort, held parts may go to unfit nodes, the least doubtful first. */
-    private void cover(List<Part> unsent, boolean lastResort, boolean copies) {
-        cover(unsent, lastResort, copies, Set.of());
-    }
-
     private void cover(List<Part> unsent, boolean lastResort, boolean copies, Set<Integer> avoided) {
         List<Node> widest = new ArrayList<>();
         List<Node> candidates = fleet.holders(unsent);
@@ -886,10 +869,6 @@
                     }
                 }
             }
-            if (kept != null && kept.parts.get(0).of.ref >= 0 && stale(pick) && mayAsk(kept.parts)) {
-                kept.asked = true;
-                probe(pick);
-            }
             if (kept != null || !ready(pick) || room > 0) {
                 candidates.remove(pick);
             }
@@ -907,12 +886,25 @@
         return fleet.holders(part).stream().anyMatch(n -> n.listed && fit(n) && canServe(n, part));
     }
 
+    /**
+     * Parts of the cover that may go to the node now: to a cold one a warm one's work in a window, cut to its
+     * warmth. What is less than one part is a chance, drawn once a window: of scores of routers none could
+     * else send any, and the node would stand unused until it is warm by age alone.
+     */
     private int room(Node node, int product) {
-        node.byChance = false;
-        if (node.covers <= 0 || warmth(node) >= 1) {
+        double work = partTimes.work(now, product, 10);
+        double share = warmth(node) * warmMost * settings.rules().fallMultiple();
+        node.byChance = warmth(node) < 1 && share * 0.75 < work;
+        if (warmth(node) >= 1) {
             return node.covers;
         }
-        return Math.max(0, Math.min(node.covers, coldRoom(node, partTimes.work(now, product, 10))));
+        if (node.drawnAt == null || now.since(node.drawnAt).longerThan(settings.rules().fallSpan())) {
+            node.drawnAt = now;
+            node.drawn = random.nextDouble();
+        }
+        // Half: what scores of routers draw scatters by several parts, and the sum must stay within.
+        double left = share * (node.byChance ? 0.5 : 0.75) - node.sent.sum(now, 0);
+        return (int) Math.max(0, Math.min(node.covers, left / work + (node.byChance ? node.drawn : 0)));
     }
 
     /** The last permitted transmission of a part is kept for a node that is not in doubt. */
