--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -283,6 +283,27 @@
         trace.matches("strain");
     }
 
+    /** Its client comes back, and what is nearly done would be done again from the start. */
+    @Test
+    void inAJamWhatIsNearlyDoneGoesOnAndTheRestEnds() throws IOException {
+        trace.lateRevenue = 0.3;
+        trace.reach = 1;
+        trace.start().nodes(0, 1, 2, 3);
+        Multiget nearly = trace.take(3000, 0, 1, 2, 3);
+        Multiget hardly = trace.take(3000, 0, 1, 2, 3);
+        trace.take(3000, 0);
+        trace.to(50).say("node 0 has no more places, and a part is held: a jam");
+        for (int part = 1; part < 4; part++) {
+            ok(nearly, part, 0, 50);
+        }
+        ok(hardly, 1, 0, 50);
+        trace.to(900);
+        trace.take(3000, 0, 1);
+        trace.to(1200).say("three of four parts are in, and one of four");
+        ok(nearly, 0, 0, 1200);
+        trace.matches("jam-late");
+    }
+
     /** In a jam a hundred routers hold some each: each asking every tenth of a quoted time was a storm. */
     @Test
     void whatIsHeldAsksOnceAndNotAgainAndAgain() throws IOException {
