Discovery's lists have a bound of their own: 1,024 indented entries, not 64 KiB

Cause: MessageReader bounded every body by MOST_BODY (64 KiB, what the protocol allows a client), and discovery.Call read its answers by it. The wrong lines: MessageReader.beginBody and chunkSize, and the buffer in Call. Change: the bound is the reader's; Call has 2 MiB (1,024 entries at 2 KiB), clients keep 64 KiB and their 413. Ruled out: the parser (it takes space between all tokens), the configuration's list (read whole, no bound).

--- a/src/main/java/gladewing/discovery/Call.java
+++ b/src/main/java/gladewing/discovery/Call.java
@@ -12,11 +12,13 @@
 /** One HTTP connection to discovery's agent: one call at a time, and its response. */
 final class Call extends ChannelInboundHandlerAdapter {
     private static final String OK = " 200 ";
+    /** A list of 1,024 data nodes at 2 KiB each: indented, with long names, some 500 bytes are usual. */
+    private static final int MOST_LIST = 1024 * 2048;
 
     private final Watch watch;
     private final String host;
-    private final ConnectionBuffer in = new ConnectionBuffer(MessageReader.MOST_BYTES);
-    private final MessageReader message = new MessageReader();
+    private final ConnectionBuffer in = new ConnectionBuffer(MessageReader.mostBytes(MOST_LIST));
+    private final MessageReader message = new MessageReader(MOST_LIST);
     private Channel channel;
     private boolean up;
     private String path;
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -14,8 +14,7 @@
 public final class MessageReader {
     public static final int MOST_HEAD = 8 * 1024;
     public static final int MOST_BODY = 64 * 1024;
-    /** Chunked bodies carry sizes between their bytes; a head and a body fit with these. */
-    public static final int MOST_BYTES = 2 * (MOST_HEAD + MOST_BODY);
+    public static final int MOST_BYTES = mostBytes(MOST_BODY);
     private static final int BAD = 400;
     private static final int BODY_TOO_LARGE = 413;
     private static final int HEAD_TOO_LARGE = 431;
@@ -28,6 +27,7 @@
 
     private static final byte[] NOTHING = new byte[0];
 
+    private final int mostBody;
     private State state = State.START_LINE;
     private String startLine;
     private final List<String> names = new ArrayList<>();
@@ -40,6 +40,21 @@
     private ByteArrayOutputStream chunks;
     private int status;
 
+    /** For what clients send. */
+    public MessageReader() {
+        this(MOST_BODY);
+    }
+
+    /** With a bound of its own on the bytes of a body, for what another side sends. */
+    public MessageReader(int mostBody) {
+        this.mostBody = mostBody;
+    }
+
+    /** Chunked bodies carry sizes between their bytes; a head and a body fit with these. */
+    public static int mostBytes(int mostBody) {
+        return 2 * (MOST_HEAD + mostBody);
+    }
+
     /** Goes on reading; after a MESSAGE, the next one is begun by next(). */
     public Progress read(ConnectionBuffer in) {
         while (state != State.COMPLETE && state != State.UNUSABLE) {
@@ -220,7 +235,7 @@
             return unusable(BAD);
         }
         length = told.length() > 9 ? Integer.MAX_VALUE : Integer.parseInt(told);
-        if (length > MOST_BODY) {
+        if (length > mostBody) {
             return unusable(BODY_TOO_LARGE);
         }
         state = State.BODY;
@@ -249,7 +264,7 @@
             return unusable(BAD);
         }
         long told = Long.parseLong(size, 16);
-        if (chunks.size() + told > MOST_BODY) {
+        if (chunks.size() + told > mostBody) {
             return unusable(BODY_TOO_LARGE);
         }
         length = (int) told;
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -57,6 +57,32 @@
         same("serve-answers.txt");
     }
 
+    /** Whole, known from before, and as changes: 1,024 entries with long names, each field on a line. */
+    @Test
+    void listsOfAThousandIndentedEntries() throws Exception {
+        List<String> targets = new ArrayList<>();
+        for (int i = 0; i < 1022; i++) {
+            targets.add(target("node-of-a-large-deployment-" + "x".repeat(40) + i, "127.0.0.1:9", i % 2,
+                    "draining").replace(",\"", ",\n            \""));
+        }
+        String before = String.join(",", targets);
+        start("{\"rev\":1,\"all\":true,\"targets\":[" + before + "]}");
+        targets.add(target("a", a.endpoint(), 0, "up"));
+        targets.add(target("b", b.endpoint(), 1, "up"));
+        discovery.list(7, true, targets.toArray(new String[0]));
+        Client client = new Client().ask("report", "r1", 0, 1);
+        a.next().answer("r1.0", "ok", "zero");
+        b.next().answer("r1.1", "ok", "one");
+        assertTrue(client.response().startsWith("200 {\"complete\":true"));
+        targets.set(1022, target("a", b.endpoint(), 0, "up"));
+        discovery.list(8, false, targets.toArray(new String[0]));
+        discovery.awaitCall(3);
+        client.ask("report", "r2", 0);
+        b.next().answer("r2.0", "ok", "zero");
+        assertTrue(client.response().startsWith("200 {\"complete\":true"));
+        assertTrue(log.stream().noneMatch(line -> line.contains("discovery failed")), log.toString());
+    }
+
     @Test
     void aClientThatLeavesIsForgotten() throws Exception {
         startWithList();
