What has begun goes on past its quoted time, and its client does not come back with all of it

Ruled out: lost lists (all lists were told), a starved router (gaps between its turns under 440 ms), places at connections, all holders silent (12 of 61 nodes were; the nodes of the missing part answered in 113 to 813 ms). Change: what has begun goes on wherever late earns anything; what has not begun ends as before, in a jam always.

--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -646,12 +646,12 @@
     }
 
     /**
-     * Where failing after the quoted time costs more than a late answer earns, it is the end; and in a jam,
-     * where what is left of it takes places from a fresh one, unless it earns as much for these.
+     * What has begun goes on past its quoted time, wherever late earns anything: its client would come back
+     * with all of it to be done again, and late all the same. What has not begun would come too late in a
+     * jam, or where failing late costs more than it earns.
      */
     private boolean worthLate(Multiget m) {
-        return m.row.lateRevenue() > settings.lateFailPrice() && (!jammed()
-                || m.parts.size() - m.stepFrom - m.partsIn <= m.row.lateRevenue() * m.parts.size());
+        return m.row.lateRevenue() > (m.firstSent != null ? 0 : jammed() ? 1 : settings.lateFailPrice());
     }
 
     /** Parts held for want of places, or, where a router meets few multigets, most of its own ends. */
