Discovery is looked up in the configuration again while it can't be had

The plays had been started by nohup, which ignores SIGHUP, and a JVM leaves an ignored HUP, INT or TERM so (handler or not). But an operator's program may be, and then it asks a place that is gone for ever, and sends to nodes that are long gone. Ruled out: the file (read well at each start), the loop (its passes went on), a fault of a task (none in the log). Wrong lines: Watch.failed() tried the old address alone, Program relied on the signal alone. Change: while the watch fails, the file is read again once a second, off the loop; another place is taken on as with SIGHUP. ServeTest.findsDiscoveryWhereTheFileSaysOnceTheOldPlaceIsGone is red without.

--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -54,6 +54,11 @@
             if (controlled != null) {
                 thread.submit(() -> controlled.start(serve, bootstrap)).get();
             }
+            serve.whenDiscoveryIsLost(() -> {
+                Thread reader = new Thread(() -> lookUp(configPath, thread, serve), "configuration");
+                reader.setDaemon(true);
+                reader.start();
+            });
             ChannelFuture listening = thread.submit(serve::start).get();
             if (!listening.await().isSuccess()) {
                 throw new Unusable("can't listen on " + config.listen() + ": "
@@ -93,6 +98,19 @@
         }
     }
 
+    /**
+     * A signal may never come: where a program is started with SIGHUP ignored, a JVM leaves it so. A file that
+     * can't be used is no news here; it may be in the middle of being replaced.
+     */
+    private static synchronized void lookUp(String configPath, EventLoop thread, Serve serve) {
+        try {
+            Config fresh = Config.read(configPath);
+            thread.execute(() -> serve.lookedUp(fresh));
+        } catch (RuntimeException unusable) {
+            // Looked up again while discovery can't be had; what is in use stays.
+        }
+    }
+
     /**
      * Routes and the rows that name them are taken over together, or neither is: a row must not be left
      * without
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -48,6 +48,8 @@
     /** Descriptors of the program itself: its jar and archive, the selector, the listener, discovery. */
     private static final int RESERVED = 64;
     private static final Span PATIENCE_FOR_LIST = Span.ofMillis(1000);
+    /** While discovery can't be had, its address is looked up anew no more often. */
+    private static final Span LOOK_AGAIN = Span.ofMillis(1000);
 
     private final Loop loop;
     private final EventLoop thread;
@@ -59,6 +61,8 @@
     /** Null where no sessions are kept. */
     private final Live live;
     private Config config;
+    private Runnable lookUp = () -> { };
+    private Time lookedUpAt;
     /** Where a version has discovery be; null where the configuration says. */
     private InetSocketAddress pinned;
     /** What data nodes are known; null where no one asks. */
@@ -167,6 +171,18 @@
         config = fresh;
     }
 
+    /** Called, on the loop's thread, while discovery can't be had where it was said to be. */
+    void whenDiscoveryIsLost(Runnable look) {
+        lookUp = look;
+    }
+
+    /** On the loop's thread: the file as it is now, read without a signal. */
+    void lookedUp(Config fresh) {
+        if (!fresh.discovery().equals(config.discovery())) {
+            configure(fresh);
+        }
+    }
+
     /** On the loop's thread: null for where the configuration says. */
     void discoverAt(InetSocketAddress address) {
         InetSocketAddress before = pinned == null ? config.discovery() : pinned;
@@ -255,6 +271,11 @@
     @Override
     public void failed() {
         carryOut(decisions.reportListFailed());
+        Time now = loop.pass();
+        if (lookedUpAt == null || now.since(lookedUpAt).longerThan(LOOK_AGAIN)) {
+            lookedUpAt = now;
+            lookUp.run();
+        }
     }
 
     private void ready() {
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -387,6 +387,25 @@
         earlier.listener.close();
     }
 
+    /** As where the program was started with SIGHUP ignored: nothing tells it but the old place's end. */
+    @Test
+    void findsDiscoveryWhereTheFileSaysOnceTheOldPlaceIsGone() throws Exception {
+        startWithList();
+        Discovery earlier = discovery;
+        discovery = new Discovery();
+        discovery.list(2, true, target("a", b.endpoint(), 0, "up"));
+        Files.writeString(config, Files.readString(config).replace(
+                "127.0.0.1:" + earlier.listener.getLocalPort(),
+                "127.0.0.1:" + discovery.listener.getLocalPort()));
+        earlier.listener.close();
+        earlier.say(8, "HTTP/1.1 500 Gone\r\nContent-Length: 0\r\n\r\n");
+        logged("read anew: discovery is at");
+        discovery.awaitCall(2);
+        Client client = new Client().ask("report", "r1", 0);
+        b.next().answer("r1.0", "ok", "zero");
+        assertTrue(client.response().startsWith("200 {\"complete\":true"));
+    }
+
     @Test
     void unusableConfigurations() throws Exception {
         Path config = folder.resolve("bad.json");
