Holders of a shard are kept by cell, so a pick costs half where hundreds of nodes are listed

Cause: each question for a part's holders built a list anew, and a cover asks that twice a part; room() reckoned a cold share for warm nodes too. Change: Fleet keeps the list of each first cell until a node of it comes or goes; a cover looks once at each cell. The order is the same, so all traces are as they were (whole test suite green).

--- a/src/main/java/gladewing/router/Fleet.java
+++ b/src/main/java/gladewing/router/Fleet.java
@@ -10,6 +10,9 @@
     private final int reach;
     private final List<Node> nodes = new ArrayList<>();
     private final List<List<Node>> cells = new ArrayList<>();
+    /** By the first cell of a shard: all that hold it, or null where that has to be made anew. */
+    private final List<List<Node>> holders = new ArrayList<>();
+    private final int[] gatheredCells;
     private int gatherings;
     /** Those that failed and have not answered in time since, and those that were cold when listed. */
     final Set<Node> doubtful = new LinkedHashSet<>();
@@ -17,9 +20,11 @@
     long listed;
 
     Fleet(Settings.Shards shards) {
-        this.reach = shards.reach();
+        this.reach = Math.min(shards.reach(), shards.cells());
+        this.gatheredCells = new int[shards.cells()];
         for (int cell = 0; cell < shards.cells(); cell++) {
             cells.add(new ArrayList<>());
+            holders.add(null);
         }
     }
 
@@ -33,11 +38,19 @@
         }
         nodes.set(node.index, node);
         cells.get(node.cell).add(node);
+        changed(node.cell);
+    }
+
+    private void changed(int cell) {
+        for (int j = 0; j < reach; j++) {
+            holders.set(Math.floorMod(cell - j, cells.size()), null);
+        }
     }
 
     void remove(Node node) {
         nodes.set(node.index, null);
         cells.get(node.cell).remove(node);
+        changed(node.cell);
         node.listed = false;
         doubtful.remove(node);
         cold.remove(node);
@@ -57,23 +70,35 @@
 
     /** The nodes that hold any of the parts, each once, in the order of the parts. */
     List<Node> holders(List<Part> parts) {
-        List<Node> holders = new ArrayList<>();
+        List<Node> all = new ArrayList<>();
         gatherings++;
         for (Part p : parts) {
-            for (int j = 0; j < reach; j++) {
-                for (Node n : cells.get((p.shard + j) % cells.size())) {
+            int cell = p.shard % cells.size();
+            if (gatheredCells[cell] != gatherings) {
+                gatheredCells[cell] = gatherings;
+                for (Node n : holders(p)) {
                     if (n.gathered != gatherings) {
                         n.gathered = gatherings;
-                        holders.add(n);
+                        all.add(n);
                     }
                 }
             }
         }
-        return holders;
+        return all;
     }
 
+    /** Kept from one question to the next: to be read only. */
     List<Node> holders(Part part) {
-        return holders(List.of(part));
+        int first = part.shard % cells.size();
+        List<Node> known = holders.get(first);
+        if (known == null) {
+            known = new ArrayList<>();
+            for (int j = 0; j < reach; j++) {
+                known.addAll(cells.get((first + j) % cells.size()));
+            }
+            holders.set(first, known);
+        }
+        return known;
     }
 
     void countListed() {
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -892,12 +892,13 @@
      * else send any, and the node would stand unused until it is warm by age alone.
      */
     private int room(Node node, int product) {
-        double work = partTimes.work(now, product, 10);
-        double share = warmth(node) * warmMost * settings.rules().fallMultiple();
-        node.byChance = warmth(node) < 1 && share * 0.75 < work;
+        node.byChance = false;
         if (warmth(node) >= 1) {
             return node.covers;
         }
+        double work = partTimes.work(now, product, 10);
+        double share = warmth(node) * warmMost * settings.rules().fallMultiple();
+        node.byChance = share * 0.75 < work;
         if (node.drawnAt == null || now.since(node.drawnAt).longerThan(settings.rules().fallSpan())) {
             node.drawnAt = now;
             node.drawn = random.nextDouble();
