Data nodes get the descriptors that clients leave; a call waits for one, and is no failure

Where all 48 were at work, Nodes.send() ended the call as NOT_WRITTEN: the module struck a node that was never asked and a transmission of the part was used up, three in one jam, which hits those who need every one of many parts most. Change: Descriptors shares out (nodes a quarter at least, clients a third of all at least, the rest to those who come first: 107 of 256 for nodes); a call without a descriptor waits as long as a new connection may take to come up, goes once something ends, and else ends as NOT_SENT, which strikes nobody; a probe without one ends so too.

--- a/src/main/java/gladewing/clients/Clients.java
+++ b/src/main/java/gladewing/clients/Clients.java
@@ -18,6 +18,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 
@@ -31,7 +32,7 @@
     final Loop loop;
     final Asks asks;
     final RequestReader reader;
-    private final int most;
+    private final IntSupplier most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Set<String> openIds = new HashSet<>();
     /** Null where nothing is routed: then no class of what routes is loaded. */
@@ -52,7 +53,7 @@
     private boolean full;
     private boolean limitTold;
 
-    public Clients(Loop loop, Site site, int most, Asks asks) {
+    public Clients(Loop loop, Site site, IntSupplier most, Asks asks) {
         this.loop = loop;
         this.most = most;
         this.asks = asks;
@@ -173,6 +174,11 @@
         new ArrayList<>(connections).stream().filter(ClientConnection::idle).forEach(ClientConnection::close);
     }
 
+    /** Connections that speak HTTP. */
+    public int connected() {
+        return connections.size();
+    }
+
     public boolean empty() {
         return connections.isEmpty() && upgraded.isEmpty();
     }
@@ -191,7 +197,7 @@
     /** At the limit one that asks nothing gives way; where none is, no more are accepted until one ends. */
     void opened(ClientConnection connection) {
         connections.add(connection);
-        if (connections.size() < most) {
+        if (connections.size() < most.getAsInt()) {
             return;
         }
         Time now = loop.pass();
@@ -204,7 +210,7 @@
             }
         }
         if (!limitTold) {
-            LOG.warning("all " + most + " connections to clients are in use");
+            LOG.warning("all " + most.getAsInt() + " connections to clients are in use");
             limitTold = true;
         }
         if (idlest != null) {
--- a/src/main/java/gladewing/nodes/NodeLimits.java
+++ b/src/main/java/gladewing/nodes/NodeLimits.java
@@ -1,7 +1,8 @@
 package gladewing.nodes;
 
 import gladewing.router.Span;
+import java.util.function.IntSupplier;
 
-/** What the settings and the machine allow towards data nodes. */
+/** What the settings and the machine allow towards data nodes; how many connections may change. */
 public record NodeLimits(int partsPerConnection, int partsPerCall, Span connectTimeOut, Span idle,
-        int connections, boolean withdrawals, boolean loadProbes) { }
+        IntSupplier connections, boolean withdrawals, boolean loadProbes) { }
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -25,12 +25,16 @@
     private static final Logger LOG = Logger.getLogger(Nodes.class.getName());
     private static final Span IDLE_CHECK = Span.ofMillis(1000);
 
+    private record Unsent(String node, List<Flight> call) { }
+
     final Loop loop;
     private final Dial dial;
     final NodeLimits limits;
     private final Reports reports;
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final Map<Transmission, Flight> flights = new HashMap<>();
+    /** Calls that found no descriptor, in their order; none waits longer than a connection may take. */
+    private final List<Unsent> unsent = new ArrayList<>();
     private int connections;
     private boolean limitTold;
 
@@ -84,11 +88,40 @@
         Connection connection = connection(node, call);
         if (connection != null) {
             connection.send(call);
+        } else if (listed(node)) {
+            Unsent waiting = new Unsent(node, call);
+            unsent.add(waiting);
+            loop.after(limits.connectTimeOut(), () -> {
+                if (unsent.remove(waiting)) {
+                    call.forEach(this::notSent);
+                }
+            });
         } else {
             loop.later(() -> call.forEach(f -> end(f, End.NOT_WRITTEN, null, null)));
         }
     }
 
+    private boolean listed(String node) {
+        return pools.containsKey(node) && pools.get(node).seat != null;
+    }
+
+    /** Something has ended, so that a connection may be free, or may give way. */
+    private void sendUnsent() {
+        for (Unsent waiting : new ArrayList<>(unsent)) {
+            waiting.call.stream().filter(f -> f.transmission.of.ended()).forEach(this::notSent);
+            List<Flight> left = waiting.call.stream().filter(f -> !f.over).toList();
+            Connection connection = left.isEmpty() ? null : connection(waiting.node, left);
+            if (connection != null) {
+                connection.send(left);
+            } else if (!listed(waiting.node)) {
+                left.forEach(this::notSent);
+            } else if (!left.isEmpty()) {
+                continue;
+            }
+            unsent.remove(waiting);
+        }
+    }
+
     public void probe(String node) {
         loop.pass();
         Probe probe = new Probe(node);
@@ -98,7 +131,9 @@
         if (connection != null) {
             connection.send(probe, limits.loadProbes() ? Frames.LOAD_PROBE : Frames.PROBE);
         } else {
-            loop.later(() -> end(probe, End.NOT_WRITTEN, null));
+            // For want of a descriptor of our own: that is no failure of the node's.
+            End end = listed(node) ? End.NOT_SENT : End.NOT_WRITTEN;
+            loop.later(() -> end(probe, end, null));
         }
     }
 
@@ -117,14 +152,14 @@
         }
         Connection free = pool.withRoom(call, limits.partsPerConnection(), loop.pass());
         boolean alone = free != null && free.load() > 0 && !call.isEmpty() && pool.breaks(loop.pass())
-                && connections < limits.connections();
+                && connections < limits.connections().getAsInt();
         return free != null && !alone ? free : open(pool);
     }
 
     private Connection open(Pool pool) {
-        if (connections >= limits.connections() && !closeIdlest()) {
+        if (connections >= limits.connections().getAsInt() && !closeIdlest()) {
             if (!limitTold) {
-                LOG.warning("all " + limits.connections() + " connections to data nodes are in use");
+                LOG.warning("all " + limits.connections().getAsInt() + " connections to data nodes are in use");
                 limitTold = true;
             }
             return null;
@@ -178,10 +213,16 @@
         loop.after(IDLE_CHECK, this::closeIdle);
     }
 
+    /** Connections that there are, those that are coming up too. */
+    public int connections() {
+        return connections;
+    }
+
     void remove(Connection connection, boolean broke) {
         for (Pool pool : pools.values()) {
             if (pool.connections.remove(connection)) {
                 connections--;
+                freed();
                 if (broke) {
                     pool.broke(loop.pass());
                 }
@@ -214,6 +255,12 @@
         end(probe, Flight.broken(probe.frame), null);
     }
 
+    private void freed() {
+        if (!unsent.isEmpty()) {
+            loop.later(this::sendUnsent);
+        }
+    }
+
     private void end(Flight flight, End end, String value, Load load) {
         if (flight.over) {
             return;
@@ -225,6 +272,7 @@
         if (flight.on != null) {
             flight.on.drop(flight, limits.withdrawals());
         }
+        freed();
         reports.ended(flight.transmission, end, now.since(flight.sentAt), value, load);
     }
 
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -58,6 +58,7 @@
     private final Nodes nodes;
     private final Watch watch;
     private final Ending ending;
+    private final Descriptors descriptors;
     /** Null where no sessions are kept. */
     private final Live live;
     private Config config;
@@ -83,14 +84,14 @@
         loop = new Loop(thread);
         unixOffset = System.currentTimeMillis() * 1000 - Loop.clock().micros();
         decisions = new Decisions(config.settings(), config.seed(), Loop.clock());
-        int shared = Math.max(2, config.sockets() - RESERVED
-                - (sessions == null ? 0 : sessions.settings.descriptors()));
+        descriptors = new Descriptors(config.sockets(), RESERVED
+                + (sessions == null ? 0 : sessions.settings.descriptors()));
         Config.Connections told = config.connections();
         nodes = new Nodes(loop, dial, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
-                told.connectTimeOut(), told.idle(), shared / 4, config.settings().allowed().withdrawals(),
+                told.connectTimeOut(), told.idle(), this::mostNodes, config.settings().allowed().withdrawals(),
                 told.loadProbes()), this);
         Site site = new Site(config.products(), config.tenants(), config.shards());
-        clients = new Clients(loop, site, shared - shared / 4, this);
+        clients = new Clients(loop, site, this::mostClients, this);
         watch = new Watch(loop, bootstrap(thread), config.discovery(), config.settings().shards().cells(),
                 this);
         Span longest = Span.ZERO;
@@ -106,6 +107,14 @@
         loop.start(this);
     }
 
+    private int mostNodes() {
+        return descriptors.forNodes(clients.connected());
+    }
+
+    private int mostClients() {
+        return descriptors.forClients(nodes.connections());
+    }
+
     /** How many descriptors there are for all connections, of clients and of nodes. */
     static int descriptors(Config config) {
         return config.sockets() - RESERVED;
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -70,7 +70,7 @@
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
             nodes = new Nodes(loop, (handler, to) -> bootstrap.clone().handler(handler).connect(to),
                     new NodeLimits(4, 2, connectTimeOut, idle,
-                    connections, withdrawals, true), this);
+                    () -> connections, withdrawals, true), this);
         });
     }
 
@@ -278,6 +278,27 @@
         }
     }
 
+    /** A want of descriptors is this program's own: it ends no call at once, and as no failure of the node's. */
+    @Test
+    void callsWaitForADescriptor() throws Exception {
+        try (NodeStandIn a = new NodeStandIn(); NodeStandIn b = new NodeStandIn()) {
+            start(1, true, LONG, Span.ofMillis(300));
+            list("a", a.port());
+            list("b", b.port());
+            transmit(to("a", Trace.asked("1", 2, 0), 0, LONG));
+            NodeStandIn.Call first = a.next();
+            transmit(to("b", Trace.asked("2", 2, 0), 0, LONG));
+            run(() -> nodes.probe("b"));
+            nextEnd();
+            first.answer("1.0", "ok", "one");
+            nextEnd();
+            told("b, once a's connection gives way", b.next().letter);
+            transmit(to("a", Trace.asked("3", 2, 0), 0, LONG));
+            nextEnd();
+            assertEquals(Trace.kept("nodes-descriptors.txt"), told.toString());
+        }
+    }
+
     @Test
     void howFarItHadCome() throws Exception {
         start(2, true, LONG);
