After SIGTERM the last answers are made 600 ms before the kill, not 200

Change: 600 ms. Connections close at 2.7 s instead of 3.1 s; what clients ask then goes elsewhere, as their connections close between requests. The reason is the protocol's kill time and the late passes; the test asks for the last answer within 3.35 s and is red without.

--- a/src/main/java/gladewing/serve/Ending.java
+++ b/src/main/java/gladewing/serve/Ending.java
@@ -20,8 +20,11 @@
     /** The protocol's: a process is killed no sooner than the longest time limit, 3 s at most, and this. */
     private static final Span LONGEST_COUNTED = Span.ofMillis(3000);
     private static final Span KILLED_AFTER = Span.ofMillis(700);
-    /** For the process to end in, and before that for the last answers to be made in. */
-    private static final Span TO_END = Span.ofMillis(200);
+    /**
+     * For the signal to come in, for a pass that is late, and for the process to end in: a last answer that is
+     * due within 200 ms of the kill was lost to it. Before that, for the last answers to be made in.
+     */
+    private static final Span TO_END = Span.ofMillis(600);
     private static final Span LAST_ANSWERS = Span.ofMillis(400);
     private static final Span CHECK = Span.ofMillis(10);
 
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -316,7 +316,7 @@
         same("serve-signal.txt");
     }
 
-    /** The process is killed at the earliest 3.7 s after the signal, however long a client would have waited. */
+    /** The process may be killed 3.7 s after the signal, however long a client would wait; a pass may be late. */
     @Test
     void whatIsOpenAtASignalIsAnsweredBeforeTheProcessMayBeKilled() throws Exception {
         lateWorth = "0.5";
@@ -324,7 +324,7 @@
         Client client = new Client().send("POST /report HTTP/1.1\r\nX-Request-ID: r1\r\nX-Timeout-Ms: 20000"
                 + "\r\nContent-Length: 42\r\n\r\n{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"\"}");
         a.next();
-        client.socket.setSoTimeout(3700);
+        client.socket.setSoTimeout(3350);
         program.toHandle().destroy();
         assertEquals("504 close", client.response());
         assertTrue(program.waitFor(PATIENCE_S, TimeUnit.SECONDS));
