Alarms are set where the transport sleeps through them, not where it spins for the rest of a millisecond

A copy that kept each thread's processor time told: n87 LATE 1207, the loop's thread had 0.61 s of it, no other had any; no pass was over 60 ms, young collections 26 ms at most, none full. Thread dumps by SIGQUIT of such routers (eight, of four) all have the loop in EPoll.wait, from select and from selectNow, the latter from Netty's NioIoHandler.select: it rounds what is left to whole milliseconds and asks anew until the rest is over. Ruled out: collections, the compiler, long passes, the machine's load (the same when played alone). Wrong line: Loop.setAlarm, whose alarms fall on any part of a millisecond, so that up to half of one is spun away at each. Change: alarms are put on the next 0.8 of a millisecond, where the wait is rounded up; timers ring up to 1 ms later (a tick is 1 ms). LoopTest.alarmsAreSetWhereTheTransportSleepsThroughThem is red with the span as it comes.

--- a/src/main/java/gladewing/loop/Loop.java
+++ b/src/main/java/gladewing/loop/Loop.java
@@ -27,6 +27,9 @@
         void end();
     }
 
+    /** Of a millisecond: above one half, also some tenths later, when the transport begins to wait. */
+    private static final long ROUNDS_UP = 800;
+
     private final EventLoop thread;
     private final Timers timers = new Timers();
     private final Set<Channel> written = new LinkedHashSet<>();
@@ -115,7 +118,16 @@
             alarm.cancel(false);
         }
         alarmAt = next;
-        alarm = thread.schedule(this::ring, Math.max(0, next.since(clock()).micros()), TimeUnit.MICROSECONDS);
+        alarm = thread.schedule(this::ring, wait(next.since(clock())), TimeUnit.MICROSECONDS);
+    }
+
+    /**
+     * The transport waits in whole milliseconds, rounded to the nearest, and asks the sockets again and again
+     * for what is left of one: so alarms are set for where it rounds up, and it sleeps through.
+     */
+    static long wait(Span span) {
+        long micros = Math.max(0, span.micros());
+        return micros + Math.floorMod(ROUNDS_UP - micros, 1000L);
     }
 
     private void ring() {
--- a/src/test/java/gladewing/loop/LoopTest.java
+++ b/src/test/java/gladewing/loop/LoopTest.java
@@ -54,6 +54,19 @@
         });
     }
 
+    /** The transport rounds what is left to whole milliseconds, up to some tenths after the alarm was set. */
+    @Test
+    void alarmsAreSetWhereTheTransportSleepsThroughThem() {
+        for (long micros = 0; micros < 20_000; micros += 7) {
+            long set = Loop.wait(new Span(micros));
+            assertTrue(set >= micros && set - micros < 1000, micros + " us became " + set);
+            for (long passed = 0; passed <= 250; passed += 50) {
+                long left = set - passed;
+                assertTrue((left + 500) / 1000 * 1000 >= left, micros + " us, " + passed + " later, spins");
+            }
+        }
+    }
+
     /** What is read in one pass is one turn, at one time; due timers run in it, after what was read. */
     @Test
     void onePassIsOneTurn() throws Exception {
