--- a/src/main/java/gladewing/nodes/Connection.java
+++ b/src/main/java/gladewing/nodes/Connection.java
@@ -27,6 +27,7 @@
     private static final Logger LOG = Logger.getLogger(Connection.class.getName());
 
     private final Nodes nodes;
+    private final Pool pool;
     final Seat seat;
     private final ConnectionBuffer in = new ConnectionBuffer(FrameReader.LONGEST + 64 * 1024);
     private final FrameReader frames = new FrameReader();
@@ -51,9 +52,10 @@
     private Timer rest;
     Time usedAt;
 
-    Connection(Nodes nodes, Seat seat) {
+    Connection(Nodes nodes, Pool pool) {
         this.nodes = nodes;
-        this.seat = seat;
+        this.pool = pool;
+        this.seat = pool.seat;
         this.usedAt = nodes.loop.pass();
     }
 
@@ -136,12 +138,13 @@
     }
 
     /**
-     * What waited for the connection may be too late: a part whose end is known is left out, and nothing of a
-     * multiget is sent once that has its final answer, also where nothing could be withdrawn.
+     * What waited for the connection may be too late: a part whose end is known is left out, and nothing is
+     * sent of a multiget that has its final answer, also where nothing could be withdrawn, or to a node that
+     * drains.
      */
     private void writeCall(List<Flight> call) {
         Time now = nodes.loop.pass();
-        call.stream().filter(f -> f.transmission.of.ended()).forEach(nodes::notSent);
+        call.stream().filter(f -> pool.draining || f.transmission.of.ended()).forEach(nodes::notSent);
         List<Flight> left = call.stream().filter(f -> !f.over).toList();
         if (!left.isEmpty()) {
             List<Frames.CallPart> parts = left.stream().map(f -> f.callPart(now)).toList();
--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -51,7 +51,17 @@
      * from before a start are dead, though a machine that vanished says so only when they are written to.
      */
     public void listed(String node, InetSocketAddress address, long started) {
-        pools.computeIfAbsent(node, Pool::new).seat = new Seat(address, started);
+        Pool pool = pools.computeIfAbsent(node, Pool::new);
+        pool.seat = new Seat(address, started);
+        pool.draining = false;
+    }
+
+    /** It finishes what it has; whatever waits for a connection or a descriptor goes to it no more. */
+    public void drains(String node) {
+        Pool pool = pools.get(node);
+        if (pool != null) {
+            pool.draining = true;
+        }
     }
 
     /** Nothing new goes there; what is out there goes on. */
@@ -164,7 +174,7 @@
             }
             return null;
         }
-        Connection connection = new Connection(this, pool.seat);
+        Connection connection = new Connection(this, pool);
         pool.connections.add(connection);
         connections++;
         ChannelFuture opening = dial.connect(connection, pool.seat.address());
--- a/src/main/java/gladewing/nodes/Pool.java
+++ b/src/main/java/gladewing/nodes/Pool.java
@@ -15,6 +15,8 @@
     private Time brokeAt;
     /** Null once the node is off the list. */
     Seat seat;
+    /** It wants nothing new: what still waits here to be sent there is not. */
+    boolean draining;
     final List<Connection> connections = new ArrayList<>();
 
     Pool(String node) {
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -315,6 +315,9 @@
                 nodes.gone(t.uid());
             } else {
                 nodes.listed(t.uid(), t.endpoint(), t.started());
+                if (state == NodeTable.State.DRAINING) {
+                    nodes.drains(t.uid());
+                }
             }
             Time started = t.started() > 0 ? new Time(t.started() * 1000 - unixOffset) : null;
             lines.add(new NodeTable.Line<>(t.uid(), t.cell(), started, state));
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -292,9 +292,16 @@
             nextEnd();
             first.answer("1.0", "ok", "one");
             nextEnd();
-            told("b, once a's connection gives way", b.next().letter);
+            NodeStandIn.Call toB = b.next();
+            told("b, once a's connection gives way", toB.letter);
             transmit(to("a", Trace.asked("3", 2, 0), 0, LONG));
             nextEnd();
+            transmit(to("a", Trace.asked("4", 2, 0), 0, LONG));
+            run(() -> nodes.drains("a"));
+            toB.answer("2.0", "ok", "two");
+            nextEnd();
+            nextEnd();
+            assertTrue(a.silent(), "nothing new has come to a since it drains");
             assertEquals(Trace.kept("nodes-descriptors.txt"), told.toString());
         }
     }
