--- a/src/main/java/gladewing/nodes/Nodes.java
+++ b/src/main/java/gladewing/nodes/Nodes.java
@@ -169,7 +169,8 @@
     private Connection open(Pool pool) {
         if (connections >= limits.connections().getAsInt() && !closeIdlest()) {
             if (!limitTold) {
-                LOG.warning("all " + limits.connections().getAsInt() + " connections to data nodes are in use");
+                LOG.warning("all " + limits.connections().getAsInt()
+                        + " connections to data nodes are in use");
                 limitTold = true;
             }
             return null;
--- a/src/main/java/gladewing/serve/Ending.java
+++ b/src/main/java/gladewing/serve/Ending.java
@@ -21,8 +21,8 @@
     private static final Span LONGEST_COUNTED = Span.ofMillis(3000);
     private static final Span KILLED_AFTER = Span.ofMillis(700);
     /**
-     * For the signal to come in, for a pass that is late, and for the process to end in: a last answer that is
-     * due within 200 ms of the kill was lost to it. Before that, for the last answers to be made in.
+     * For the signal to come in, for a pass that is late, and for the process to end in: a last answer that
+     * was due within 200 ms of the kill was lost to it. Before that, for the last answers to be made in.
      */
     private static final Span TO_END = Span.ofMillis(600);
     private static final Span LAST_ANSWERS = Span.ofMillis(400);
--- a/src/main/java/gladewing/serve/Program.java
+++ b/src/main/java/gladewing/serve/Program.java
@@ -99,8 +99,8 @@
     }
 
     /**
-     * A signal may never come: where a program is started with SIGHUP ignored, a JVM leaves it so. A file that
-     * can't be used is no news here; it may be in the middle of being replaced.
+     * A signal may never come: where a program is started with SIGHUP ignored, a JVM leaves it so. A file
+     * that can't be used is no news here; it may be in the middle of being replaced.
      */
     private static synchronized void lookUp(String configPath, EventLoop thread, Serve serve) {
         try {
--- a/src/main/java/gladewing/serve/Serve.java
+++ b/src/main/java/gladewing/serve/Serve.java
@@ -88,8 +88,8 @@
                 + (sessions == null ? 0 : sessions.settings.descriptors()));
         Config.Connections told = config.connections();
         nodes = new Nodes(loop, dial, new NodeLimits(told.partsPerConnection(), told.partsPerCall(),
-                told.connectTimeOut(), told.idle(), this::mostNodes, config.settings().allowed().withdrawals(),
-                told.loadProbes()), this);
+                told.connectTimeOut(), told.idle(), this::mostNodes,
+                config.settings().allowed().withdrawals(), told.loadProbes()), this);
         Site site = new Site(config.products(), config.tenants(), config.shards());
         clients = new Clients(loop, site, this::mostClients, this);
         watch = new Watch(loop, bootstrap(thread), config.discovery(), config.settings().shards().cells(),
--- a/src/test/java/gladewing/nodes/NodesTest.java
+++ b/src/test/java/gladewing/nodes/NodesTest.java
@@ -278,7 +278,7 @@
         }
     }
 
-    /** A want of descriptors is this program's own: it ends no call at once, and as no failure of the node's. */
+    /** A want of descriptors is this program's own: it ends no call at once, nor as a node's failure. */
     @Test
     void callsWaitForADescriptor() throws Exception {
         try (NodeStandIn a = new NodeStandIn(); NodeStandIn b = new NodeStandIn()) {
--- a/src/test/java/gladewing/router/Trace.java
+++ b/src/test/java/gladewing/router/Trace.java
@@ -48,7 +48,8 @@
                 new Settings.Rules(asked ? Span.ofMillis(10_000) : Span.ZERO, 0.2, Span.ofMillis(10_000), 2,
                         Span.ofMillis(1000), budgetSpan, budgetFree, budgetShare),
                 new Settings.Allowed(probes, true, copies, perPart, open, Span.ZERO),
-                new Settings.Shards(cells, reach), List.of(product), List.of(), asked, false, 1, lateFailPrice);
+                new Settings.Shards(cells, reach), List.of(product), List.of(), asked, false, 1,
+                lateFailPrice);
     }
 
     /** Nodes in the order of their cells, the first being node 0. */
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -316,7 +316,7 @@
         same("serve-signal.txt");
     }
 
-    /** The process may be killed 3.7 s after the signal, however long a client would wait; a pass may be late. */
+    /** The process may be killed 3.7 s after the signal, whatever a client would wait; a pass may be late. */
     @Test
     void whatIsOpenAtASignalIsAnsweredBeforeTheProcessMayBeKilled() throws Exception {
         lateWorth = "0.5";
