Count what becomes of requests and connections, and log each on demand

Each request (accepted, answered, refused, abandoned), connection (opened, closed, evicted, drained, with the reason), transmission and failed call to discovery is counted now; the counts are logged at the end, and with -Dgladewing.events=true each event has a line with the request's id or the connection's address. No behaviour changes.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -1,6 +1,7 @@
 package gladewing.clients;
 
 import gladewing.buffer.ConnectionBuffer;
+import gladewing.events.Event;
 import gladewing.http.MessageReader;
 import gladewing.router.Span;
 import gladewing.router.Time;
@@ -73,6 +74,7 @@
         channel = context.channel();
         lastReadAt = server.loop.enterPass();
         requestDueSince = lastReadAt;
+        server.events.record(Event.CLIENT_CONNECTED, this, "");
         server.connectionOpened(this);
     }
 
@@ -167,6 +169,7 @@
         openMultiget =
                 reader.newMultiget(
                         this, timeLeft, product, tenant, server.retryPolicyFor(product, decision));
+        server.events.record(Event.REQUEST_ACCEPTED, reader.id(), timeLeft);
         server.listener.multigetReceived(openMultiget);
     }
 
@@ -195,8 +198,11 @@
     void respond(int status, String headers, String body) {
         boolean wasOpen = openMultiget != null;
         if (wasOpen) {
+            server.events.record(Event.REQUEST_ANSWERED, openMultiget.id, status);
             server.releaseId(openMultiget.id);
             openMultiget = null;
+        } else {
+            server.events.record(Event.REQUEST_REFUSED, this, status);
         }
         if (isClosing) {
             return;
@@ -284,7 +290,14 @@
         channel.close();
     }
 
+    /** The address of the client. */
+    @Override
+    public String toString() {
+        return String.valueOf(channel == null ? null : channel.remoteAddress());
+    }
+
     private void fail(String reason) {
+        server.events.record(Event.CLIENT_CLOSED_ON_ERROR, this, reason);
         LOG.warning("connection to a client closed: " + reason);
         close();
     }
@@ -293,6 +306,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.loop.enterPass();
         isClosing = true;
+        server.events.record(Event.CLIENT_CLOSED, this, "");
         server.connectionClosed(this);
         if (upgraded != null) {
             upgraded.connectionClosed();
@@ -301,12 +315,14 @@
             ClientMultiget abandoned = openMultiget;
             openMultiget = null;
             server.releaseId(abandoned.id);
+            server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
             server.listener.clientDisconnected(abandoned);
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        server.events.record(Event.CLIENT_CLOSED_ON_ERROR, this, cause);
         // An IOException means that the client has reset its connection. Anything else is a fault
         // of this program; it ends with this connection.
         if (!(cause instanceof IOException)) {
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -1,5 +1,7 @@
 package gladewing.clients;
 
+import gladewing.events.Event;
+import gladewing.events.RouterEvents;
 import gladewing.http.MessageReader;
 import gladewing.loop.Loop;
 import gladewing.router.RetryPolicy;
@@ -36,6 +38,7 @@
     final Loop loop;
     final MultigetListener listener;
     final RequestReader reader;
+    final RouterEvents events;
     private final IntSupplier maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
@@ -83,8 +86,10 @@
             Loop loop,
             ServedCatalog catalog,
             IntSupplier maxConnections,
-            MultigetListener listener) {
+            MultigetListener listener,
+            RouterEvents events) {
         this.loop = loop;
+        this.events = events;
         this.maxConnections = maxConnections;
         this.listener = listener;
         this.reader = new RequestReader(catalog);
@@ -233,8 +238,12 @@
     /** Closes idle connections now, and each other one after its next response. */
     public void drainConnections() {
         isDraining = true;
-        new ArrayList<>(connections)
-                .stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            if (connection.isIdle()) {
+                events.record(Event.CLIENT_CLOSED_WHEN_DRAINING, connection, "idle");
+                connection.close();
+            }
+        }
     }
 
     /** The number of HTTP connections, without those that were upgraded. */
@@ -289,6 +298,7 @@
             // Removed from the count at once, because its close is reported only in a later pass
             // and more connections may be opened in this one.
             connections.remove(evicted);
+            events.record(Event.CLIENT_EVICTED, evicted, "limit of connections");
             evicted.close();
         } else {
             isFull = true;
--- a/src/main/java/gladewing/discovery/DiscoveryWatcher.java
+++ b/src/main/java/gladewing/discovery/DiscoveryWatcher.java
@@ -1,5 +1,7 @@
 package gladewing.discovery;
 
+import gladewing.events.Event;
+import gladewing.events.RouterEvents;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
 import gladewing.loop.Loop;
@@ -38,6 +40,7 @@
     private InetSocketAddress address;
     private final int cells;
     private final DiscoveryListener listener;
+    private final RouterEvents events;
 
     /** The connection in use; null while there is none. */
     private DiscoveryConnection connection;
@@ -58,7 +61,9 @@
             Bootstrap bootstrap,
             InetSocketAddress address,
             int cells,
-            DiscoveryListener listener) {
+            DiscoveryListener listener,
+            RouterEvents events) {
+        this.events = events;
         this.loop = loop;
         this.bootstrap = bootstrap;
         this.address = address;
@@ -77,6 +82,7 @@
      * ignored because its connection is no longer the one in use.
      */
     public void moveTo(InetSocketAddress newAddress) {
+        events.record(Event.DISCOVERY_MOVED, newAddress, "from " + address);
         address = newAddress;
         revision = -1;
         if (timer == null) {
@@ -158,6 +164,7 @@
             return;
         }
         loop.enterPass();
+        events.record(Event.DISCOVERY_FAILED, address, reason);
         timer.cancel();
         connection = null;
         from.close();
--- /dev/null
+++ b/src/main/java/gladewing/events/Event.java
@@ -0,0 +1,34 @@
+package gladewing.events;
+
+/** What a router records about its requests, its connections and its failed system calls. */
+public enum Event {
+    /** A multiget was passed to the module. */
+    REQUEST_ACCEPTED,
+    /** The final answer to a multiget was handed to the client's connection. */
+    REQUEST_ANSWERED,
+    /** A request was turned down before it reached the module. */
+    REQUEST_REFUSED,
+    /** The client's connection ended while its multiget was open. */
+    REQUEST_ABANDONED,
+
+    CLIENT_CONNECTED,
+    CLIENT_CLOSED,
+    CLIENT_EVICTED,
+    CLIENT_CLOSED_WHEN_DRAINING,
+    CLIENT_CLOSED_ON_ERROR,
+
+    NODE_CONNECTING,
+    NODE_CONNECT_FAILED,
+    NODE_CLOSED_BY_NODE,
+    NODE_CLOSED_WHEN_IDLE,
+    NODE_CLOSED_ON_ERROR,
+    NODE_PROTOCOL_ERROR,
+
+    /** A transmission was handed to a connection; a part may have several. */
+    TRANSMISSION_SENT,
+    TRANSMISSION_ENDED,
+
+    DISCOVERY_FAILED,
+    DISCOVERY_MOVED,
+    CONFIGURATION_KEPT
+}
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -2,6 +2,8 @@
 
 import gladewing.decisions.CallResult;
 import gladewing.decisions.Transmission;
+import gladewing.events.Event;
+import gladewing.events.RouterEvents;
 import gladewing.frames.LoadReport;
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
@@ -34,6 +36,7 @@
     final Loop loop;
     private final Connector connector;
     final NodeClientOptions options;
+    final RouterEvents events;
     private final NodeEventListener listener;
     private final Map<String, ConnectionPool> pools = new LinkedHashMap<>();
     private final Map<Transmission, InFlightTransmission> inFlight = new HashMap<>();
@@ -48,8 +51,13 @@
     private boolean isLimitLogged;
 
     public NodeClient(
-            Loop loop, Connector connector, NodeClientOptions options, NodeEventListener listener) {
+            Loop loop,
+            Connector connector,
+            NodeClientOptions options,
+            NodeEventListener listener,
+            RouterEvents events) {
         this.loop = loop;
+        this.events = events;
         this.connector = connector;
         this.options = options;
         this.listener = listener;
@@ -239,17 +247,24 @@
         connectionCount++;
         ChannelFuture opening = connector.connect(connection, pool.incarnation.address());
         connection.setChannel(opening.channel());
+        events.record(Event.NODE_CONNECTING, pool.node, pool.incarnation.address());
         loop.schedule(
                 options.connectTimeout(),
                 () -> {
                     if (!opening.isDone()) {
+                        events.record(Event.NODE_CONNECT_FAILED, pool.node, "time-out");
                         close(connection);
                     }
                 });
         opening.addListener(
                 done -> {
                     if (!done.isSuccess()) {
-                        loop.runInLaterPass(connection::connectionLost);
+                        Throwable cause = done.cause();
+                        loop.runInLaterPass(
+                                () -> {
+                                    events.record(Event.NODE_CONNECT_FAILED, pool.node, cause);
+                                    connection.connectionLost();
+                                });
                     }
                 });
         return connection;
@@ -288,6 +303,10 @@
                         && (isRetired
                                 || c.isSilent()
                                 || now.since(c.lastUsedAt).longerThan(maxIdle))) {
+                    events.record(
+                            Event.NODE_CLOSED_WHEN_IDLE,
+                            c,
+                            isRetired ? "retired" : c.isSilent() ? "silent" : "unused");
                     close(c);
                 }
             }
@@ -361,6 +380,7 @@
         part.isEnded = true;
         part.timeoutTimer.cancel();
         inFlight.remove(part.transmission);
+        events.record(Event.TRANSMISSION_ENDED, part.id, result);
         if (part.connection != null) {
             part.connection.drop(part, options.withdrawalsAllowed());
         }
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -1,6 +1,7 @@
 package gladewing.nodes;
 
 import gladewing.buffer.ConnectionBuffer;
+import gladewing.events.Event;
 import gladewing.frames.FrameReader;
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
@@ -200,7 +201,10 @@
             List<NodeFrames.CallPart> parts =
                     remaining.stream().map(part -> part.callPart(now)).toList();
             ChannelFuture frameWrite = write(NodeFrames.call(channel.alloc(), parts));
-            remaining.forEach(part -> part.frameWrite = frameWrite);
+            for (InFlightTransmission part : remaining) {
+                part.frameWrite = frameWrite;
+                client.events.record(Event.TRANSMISSION_SENT, part.id, this);
+            }
         }
     }
 
@@ -343,6 +347,7 @@
 
     private void protocolError(String reason) {
         if (!isClosed) {
+            client.events.record(Event.NODE_PROTOCOL_ERROR, this, reason);
             LOG.warning("connection to data node " + incarnation.address() + " closed: " + reason);
             close();
             connectionLost();
@@ -368,13 +373,23 @@
         writesOnceUp.clear();
     }
 
+    /** The name and the address of the node. */
+    @Override
+    public String toString() {
+        return pool.node + " at " + incarnation.address();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (!isClosed) {
+            client.events.record(Event.NODE_CLOSED_BY_NODE, this, awaitedTransmissions);
+        }
         connectionLost();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        client.events.record(Event.NODE_CLOSED_ON_ERROR, this, cause);
         // I/O errors, such as a reset by the node, are not logged. Any other exception is a fault
         // of this program; it ends this connection only.
         if (!(cause instanceof IOException)) {
--- a/src/main/java/gladewing/serve/LoggingSetup.java
+++ b/src/main/java/gladewing/serve/LoggingSetup.java
@@ -1,5 +1,6 @@
 package gladewing.serve;
 
+import gladewing.events.RouterEvents;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.logging.Handler;
@@ -27,6 +28,7 @@
             root.removeHandler(handler);
         }
         root.addHandler(new AsyncLogHandler(System.err));
+        RouterEvents.configureLog();
     }
 
     static void flush() {
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -14,6 +14,7 @@
 import gladewing.discovery.DiscoveryListener;
 import gladewing.discovery.DiscoveryWatcher;
 import gladewing.discovery.NodeListUpdate;
+import gladewing.events.RouterEvents;
 import gladewing.loop.Loop;
 import gladewing.nodes.Connector;
 import gladewing.nodes.NodeClient;
@@ -70,6 +71,7 @@
     private final DiscoveryWatcher discoveryWatcher;
     private final GracefulShutdown shutdown;
     private final DescriptorBudget descriptors;
+    private final RouterEvents events = new RouterEvents();
 
     /** Null without long-lived sessions. */
     private final SessionServer live;
@@ -125,17 +127,19 @@
                                 this::maxNodeConnections,
                                 config.settings().permissions().withdrawals(),
                                 limits.loadProbes()),
-                        this);
+                        this,
+                        events);
         ServedCatalog catalog =
                 new ServedCatalog(config.products(), config.tenants(), config.shards());
-        httpServer = new HttpServer(loop, catalog, this::maxClientConnections, this);
+        httpServer = new HttpServer(loop, catalog, this::maxClientConnections, this, events);
         discoveryWatcher =
                 new DiscoveryWatcher(
                         loop,
                         bootstrap(thread),
                         config.discovery(),
                         config.settings().shards().cells(),
-                        this);
+                        this,
+                        events);
         Span longestTimeLimit = Span.ZERO;
         for (Settings.Product product : config.settings().products()) {
             longestTimeLimit = Span.longest(longestTimeLimit, product.timeLimit());
@@ -285,6 +289,10 @@
         return live;
     }
 
+    RouterEvents events() {
+        return events;
+    }
+
     Loop loop() {
         return loop;
     }
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -8,6 +8,7 @@
 import gladewing.decisions.CallResult;
 import gladewing.decisions.Decisions;
 import gladewing.decisions.Transmission;
+import gladewing.events.RouterEvents;
 import gladewing.loop.Loop;
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
@@ -90,7 +91,8 @@
                                             () -> maxConnections,
                                             withdrawalsAllowed,
                                             true),
-                                    this);
+                                    this,
+                                    new RouterEvents());
                 });
     }
 
