Repeat failed reads and writes instead of closing the connection

Callers saw connections end with no answer while reads or writes of the router's sockets failed (EIO, ENOBUFS, EINTR), and answers that were due then were lost. Cause: the transport closes a connection on any IOException, and on a read that was interrupted (the JDK returns -3, which it takes for the end); no line of ours said otherwise. An own failure says nothing about the other side, so ResilientSocketChannel keeps the connection and repeats the call after 1 to 16 ms, for up to 3 s (lifecycle.FailedCallPolicy). Resets have a type of their own and end the connection as before; other dead connections are noticed by the next read, which is the end.

--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -26,6 +26,8 @@
 import gladewing.router.Time;
 import gladewing.routes.RouteTable;
 import gladewing.sessionsockets.SessionServer;
+import gladewing.sockets.ResilientServerSocketChannel;
+import gladewing.sockets.SocketFactory;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -33,8 +35,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -172,7 +172,7 @@
     static Bootstrap bootstrap(EventLoop thread) {
         return new Bootstrap()
                 .group(thread)
-                .channel(NioSocketChannel.class)
+                .channelFactory(SocketFactory::newSocket)
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .option(ChannelOption.TCP_NODELAY, true);
@@ -205,7 +205,7 @@
         return httpServer.listen(
                 new ServerBootstrap()
                         .group(thread)
-                        .channel(NioServerSocketChannel.class)
+                        .channelFactory(ResilientServerSocketChannel::new)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, 512)
                         .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
--- /dev/null
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -0,0 +1,113 @@
+package gladewing.sockets;
+
+import gladewing.lifecycle.FailedCallPolicy;
+import gladewing.loop.Loop;
+import gladewing.router.Span;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A connection that stays open when a read or a write of its socket fails, and repeats it as {@link
+ * FailedCallPolicy} says. Netty closes the connection at once, and with it the requests that are
+ * open on it. A connection that the other side has reset or closed ends as ever.
+ */
+public final class ResilientSocketChannel extends NioSocketChannel {
+    /** What the JDK returns for a read that a signal has interrupted (sun.nio.ch.IOStatus). */
+    private static final int INTERRUPTED = -3;
+
+    /**
+     * How long reads or writes may fail. A request may live for 3 s by the protocol; afterwards
+     * there is nothing left to save.
+     */
+    private static final FailedCallPolicy POLICY = new FailedCallPolicy(Span.ofMillis(3000));
+
+    private final FailureSeries reads = new FailureSeries(POLICY);
+    private final FailureSeries writes = new FailureSeries(POLICY);
+
+    /** Whether reading pauses until a failed read is repeated. */
+    private boolean isReadPaused;
+
+    /** A connection to be opened. */
+    ResilientSocketChannel(SocketChannel socket) {
+        super(socket);
+    }
+
+    /** A connection that was accepted. */
+    ResilientSocketChannel(Channel acceptor, SocketChannel socket) {
+        super(acceptor, socket);
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        if (!isReadPaused) {
+            super.doBeginRead();
+        }
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf target) throws Exception {
+        int count;
+        try {
+            count = super.doReadBytes(target);
+        } catch (SocketException | ClosedChannelException ended) {
+            // The JDK tells a reset by the other side from all other failures by its type.
+            throw ended;
+        } catch (IOException failure) {
+            return repeatRead(failure);
+        }
+        if (count == INTERRUPTED) {
+            return 0;
+        }
+        reads.succeeded();
+        return count;
+    }
+
+    /** Pauses reading; returns the number of bytes that were read. */
+    private int repeatRead(IOException failure) throws IOException {
+        Span delay = reads.failed(Loop.readClock());
+        if (delay == null) {
+            throw failure;
+        }
+        isReadPaused = true;
+        removeAndSubmit(readOps);
+        schedule(this::resumeReading, delay);
+        return 0;
+    }
+
+    private void resumeReading() {
+        isReadPaused = false;
+        if (isActive() && config().isAutoRead()) {
+            read();
+            unsafe().read();
+        }
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
+        try {
+            super.doWrite(pending);
+            writes.succeeded();
+        } catch (ClosedChannelException ended) {
+            throw ended;
+        } catch (IOException failure) {
+            // A connection that has ended is noticed by reading, so failed writes need not tell.
+            Span delay = writes.failed(Loop.readClock());
+            if (delay == null) {
+                throw failure;
+            }
+            clearOpWrite();
+            schedule(unsafe()::forceFlush, delay);
+        }
+    }
+
+    private void schedule(Runnable task, Span delay) {
+        eventLoop().schedule(task, delay.micros(), TimeUnit.MICROSECONDS);
+    }
+}
