Try again to accept connections within milliseconds of a failure

Callers on new connections waited for a second, or were reset, while accept failed for a moment (EMFILE, ENFILE, ENOBUFS), and where an accepted connection could not be prepared (fcntl, setsockopt, getsockopt); requests with little time were lost, and at SIGTERM all that waited. Cause: Netty's acceptor switches accepting off for 1 s on any failure, and closes an accepted connection whose options can't be set. ResilientServerSocketChannel repeats accept after 1 to 16 ms without end, keeps an accepted socket for up to 1 s until a channel can be made of it, and TCP_NODELAY is set by the channel, again before a write if it failed. What fcntl fails on is closed within the JDK, unread; the test allows that reset alone.

--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -174,8 +174,7 @@
                 .group(thread)
                 .channelFactory(SocketFactory::newSocket)
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
-                .option(ChannelOption.TCP_NODELAY, true);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     }
 
     /** Creates the handler for one more client's connection. */
@@ -208,8 +207,7 @@
                         .channelFactory(ResilientServerSocketChannel::new)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, 512)
-                        .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-                        .childOption(ChannelOption.TCP_NODELAY, true),
+                        .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false)),
                 config.listen());
     }
 
--- a/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
@@ -1,23 +1,105 @@
 package gladewing.sockets;
 
+import gladewing.lifecycle.FailedCallPolicy;
+import gladewing.loop.Loop;
+import gladewing.router.Span;
+import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
-/** Accepts connections as {@link ResilientSocketChannel}s. */
+/**
+ * Accepts connections as {@link ResilientSocketChannel}s. When the machine can't accept one, it
+ * tries again within milliseconds. Netty pauses for a second, in which connections that are up
+ * already, and requests on them, wait unseen.
+ */
 public final class ResilientServerSocketChannel extends NioServerSocketChannel {
+    /** How long an accepted socket that no channel can be made of is kept. */
+    private static final FailedCallPolicy PREPARATION_POLICY =
+            new FailedCallPolicy(Span.ofMillis(1000));
+
+    private final FailureSeries accepts = new FailureSeries(FailedCallPolicy.UNLIMITED);
+    private final FailureSeries preparations = new FailureSeries(PREPARATION_POLICY);
+
+    /** An accepted socket that no channel could be made of yet, or null. */
+    private SocketChannel unprepared;
+
+    /** Whether accepting pauses until a failed call is repeated. */
+    private boolean isAcceptPaused;
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        if (!isAcceptPaused) {
+            super.doBeginRead();
+        }
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
-        SocketChannel socket = javaChannel().accept();
-        if (socket == null) {
+        if (unprepared == null) {
+            unprepared = accept();
+        }
+        if (unprepared == null) {
             return 0;
         }
         try {
-            accepted.add(new ResilientSocketChannel(this, socket));
+            accepted.add(new ResilientSocketChannel(this, unprepared));
+            unprepared = null;
+            preparations.succeeded();
             return 1;
-        } catch (RuntimeException failure) {
-            SocketFactory.close(socket);
+        } catch (ChannelException failure) {
+            Span delay = preparations.failed(Loop.readClock());
+            if (delay == null) {
+                closeUnprepared();
+                preparations.succeeded();
+                delay = Span.ZERO;
+            }
+            pause(delay);
             return 0;
         }
     }
+
+    /** Returns null if there is no connection to accept, or the call failed. */
+    private SocketChannel accept() throws IOException {
+        try {
+            SocketChannel socket = javaChannel().accept();
+            accepts.succeeded();
+            return socket;
+        } catch (ClosedChannelException closed) {
+            throw closed;
+        } catch (IOException failure) {
+            pause(accepts.failed(Loop.readClock()));
+            return null;
+        }
+    }
+
+    private void pause(Span delay) {
+        isAcceptPaused = true;
+        removeAndSubmit(readOps);
+        eventLoop().schedule(this::resume, delay.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    private void resume() {
+        isAcceptPaused = false;
+        if (isActive() && config().isAutoRead()) {
+            read();
+            unsafe().read();
+        }
+    }
+
+    private void closeUnprepared() {
+        if (unprepared != null) {
+            SocketFactory.close(unprepared);
+            unprepared = null;
+        }
+    }
+
+    @Override
+    protected void doClose() throws Exception {
+        closeUnprepared();
+        super.doClose();
+    }
 }
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -5,6 +5,7 @@
 import gladewing.router.Span;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
@@ -34,14 +35,28 @@
     /** Whether reading pauses until a failed read is repeated. */
     private boolean isReadPaused;
 
+    /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
+    private boolean needsNoDelay;
+
     /** A connection to be opened. */
     ResilientSocketChannel(SocketChannel socket) {
         super(socket);
+        setNoDelay();
     }
 
     /** A connection that was accepted. */
     ResilientSocketChannel(Channel acceptor, SocketChannel socket) {
         super(acceptor, socket);
+        setNoDelay();
+    }
+
+    private void setNoDelay() {
+        try {
+            config().setTcpNoDelay(true);
+            needsNoDelay = false;
+        } catch (ChannelException failure) {
+            needsNoDelay = true;
+        }
     }
 
     @Override
@@ -91,6 +106,9 @@
 
     @Override
     protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
+        if (needsNoDelay) {
+            setNoDelay();
+        }
         try {
             super.doWrite(pending);
             writes.succeeded();
