--- a/src/main/java/gladewing/serve/GracefulShutdown.java
+++ b/src/main/java/gladewing/serve/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package gladewing.serve;
 
 import gladewing.clients.HttpServer;
+import gladewing.events.RouterEvents;
 import gladewing.loop.Loop;
 import gladewing.router.Span;
 import gladewing.router.Time;
@@ -46,6 +47,7 @@
     private final Loop loop;
     private final HttpServer httpServer;
     private final Span longestTimeLimit;
+    private final RouterEvents events;
     private final CountDownLatch done = new CountDownLatch(1);
     private Consumer<Span> sessionShutdown = within -> {};
     private boolean hasBegun;
@@ -56,7 +58,8 @@
     /**
      * @param longestTimeLimit the longest time limit of any product
      */
-    GracefulShutdown(Loop loop, HttpServer httpServer, Span longestTimeLimit) {
+    GracefulShutdown(Loop loop, HttpServer httpServer, Span longestTimeLimit, RouterEvents events) {
+        this.events = events;
         this.loop = loop;
         this.httpServer = httpServer;
         this.longestTimeLimit = longestTimeLimit;
@@ -97,6 +100,7 @@
     private void checkDrained() {
         boolean isLate = drainDeadline.before(loop.enterPass());
         if (httpServer.hasNoConnections() || isLate) {
+            LOG.info("events: " + events.summary());
             LOG.info(
                     isLate
                             ? "ended with connections that were not closed in time"
--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -123,7 +123,7 @@
                                     () ->
                                             shutDown(
                                                     thread,
-                                                    runtime,
+                                                    runtime.shutdown(),
                                                     routesReloader,
                                                     attemptsReloader,
                                                     controlIntegration),
@@ -207,22 +207,16 @@
                 });
     }
 
-    private static void logEvents(RouterRuntime runtime) {
-        Logger.getLogger(RouterProcess.class.getName())
-                .info("events: " + runtime.events().summary());
-    }
-
     /** Shuts the router down, and then logs the counts of routes and rows. */
     private static void shutDown(
             EventLoop thread,
-            RouterRuntime runtime,
+            GracefulShutdown shutdown,
             RoutesReloader routesReloader,
             AttemptsReloader attemptsReloader,
             ControlIntegration controlIntegration) {
         try {
-            thread.execute(runtime.shutdown()::begin);
-            runtime.shutdown().await();
-            thread.submit(() -> logEvents(runtime)).get();
+            thread.execute(shutdown::begin);
+            shutdown.await();
             if (controlIntegration != null) {
                 thread.submit(controlIntegration::end).get();
             }
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -144,7 +144,7 @@
         for (Settings.Product product : config.settings().products()) {
             longestTimeLimit = Span.longest(longestTimeLimit, product.timeLimit());
         }
-        shutdown = new GracefulShutdown(loop, httpServer, longestTimeLimit);
+        shutdown = new GracefulShutdown(loop, httpServer, longestTimeLimit, events);
         live =
                 sessions == null
                         ? null
@@ -287,10 +287,6 @@
         return live;
     }
 
-    RouterEvents events() {
-        return events;
-    }
-
     Loop loop() {
         return loop;
     }
