Count the time that a request waited to be accepted, read or begun

Callers got answers later than their time and the 0.5 s of slack. Cause: the client's time was counted from when the request was parsed, less a stall of the loop; the time that its connection waited while accept failed or was suspended at the limit, that its bytes waited while reads failed, or that it waited behind another request on its connection was not. Channels now tell since when what they deliver may have waited, and the connection keeps it until the request is parsed.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -6,6 +6,7 @@
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.routes.RoutingDecision;
+import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -63,6 +64,12 @@
      */
     private Time requestDueSince;
 
+    /**
+     * The earliest time at which the bytes in {@link #received} may have arrived at this machine;
+     * null while they are the start of a single request.
+     */
+    private Time arrivedAt;
+
     Time lastReadAt;
 
     ClientConnection(HttpServer server) {
@@ -84,6 +91,10 @@
         if (requestDueSince == null) {
             requestDueSince = lastReadAt;
         }
+        Time readArrivedAt = earliestArrival();
+        if (arrivedAt == null) {
+            arrivedAt = readArrivedAt;
+        }
         ByteBuf bytes = (ByteBuf) read;
         try {
             // Bytes that arrive while the connection is closing are discarded.
@@ -100,11 +111,20 @@
         }
     }
 
+    /** The earliest time at which bytes that were just read may have arrived. */
+    private Time earliestArrival() {
+        Time beforeStall = lastReadAt.minus(server.loop.stallBeforePass());
+        Time unreadSince =
+                channel instanceof ResilientSocketChannel socket ? socket.takeUnreadSince() : null;
+        return unreadSince != null && unreadSince.before(beforeStall) ? unreadSince : beforeStall;
+    }
+
     private void processRequests() {
         // No more requests are processed while the client does not read its responses.
         while (openMultiget == null && !isClosing && channel.isWritable()) {
             MessageReader.Progress progress = message.read(received);
             if (progress == MessageReader.Progress.INCOMPLETE) {
+                arrivedAt = null;
                 sendContinueIfExpected();
                 break;
             }
@@ -146,9 +166,10 @@
      */
     private void startMultiget() {
         RequestReader reader = server.reader;
-        // The client's time has been running while the request waited to be read.
-        Span timeLeft =
-                server.limitToDeadline(reader.timeLeft().minus(server.loop.stallBeforePass()));
+        // The client's time has been running while the request waited to be read, or waited for
+        // the end of the one before it.
+        Span waited = server.loop.enterPass().since(arrivedAt);
+        Span timeLeft = server.limitToDeadline(reader.timeLeft().minus(waited));
         RoutingDecision decision = server.route(timeLeft);
         if (decision != null && decision.isDismissed()) {
             server.releaseId(reader.id());
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -9,6 +9,7 @@
 import gladewing.router.Time;
 import gladewing.routes.RouteTable;
 import gladewing.routes.RoutingDecision;
+import gladewing.sockets.ResilientServerSocketChannel;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -66,7 +67,7 @@
      */
     private final Set<ClientConnection> upgraded = new LinkedHashSet<>();
 
-    private Channel acceptor;
+    private ResilientServerSocketChannel acceptor;
     private boolean isReady;
 
     /** The time by which everything must be answered; null before the shutdown. */
@@ -95,7 +96,11 @@
         this.reader = new RequestReader(catalog);
     }
 
-    /** Starts to accept connections; the result is done once the address is bound. */
+    /**
+     * Starts to accept connections; the result is done once the address is bound.
+     *
+     * @param bootstrap creates a {@link ResilientServerSocketChannel}
+     */
     public ChannelFuture listen(ServerBootstrap bootstrap, InetSocketAddress address) {
         ChannelFuture bound =
                 bootstrap
@@ -107,7 +112,7 @@
                                     }
                                 })
                         .bind(address);
-        acceptor = bound.channel();
+        acceptor = (ResilientServerSocketChannel) bound.channel();
         loop.schedule(STALL_CHECK_INTERVAL, this::closeStalledConnections);
         return bound;
     }
@@ -302,7 +307,7 @@
             evicted.close();
         } else {
             isFull = true;
-            acceptor.config().setAutoRead(false);
+            acceptor.suspendAccepting();
         }
     }
 
@@ -310,6 +315,6 @@
         connections.remove(connection);
         upgraded.remove(connection);
         isFull = false;
-        acceptor.config().setAutoRead(true);
+        acceptor.resumeAccepting();
     }
 }
--- a/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
@@ -3,6 +3,7 @@
 import gladewing.lifecycle.FailedCallPolicy;
 import gladewing.loop.Loop;
 import gladewing.router.Span;
+import gladewing.router.Time;
 import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
@@ -27,6 +28,12 @@
     /** An accepted socket that no channel could be made of yet, or null. */
     private SocketChannel unprepared;
 
+    /**
+     * Since when connections may have been waiting to be accepted; null if they are accepted as
+     * soon as they come up.
+     */
+    private Time waitingSince;
+
     /** Whether accepting pauses until a failed call is repeated. */
     private boolean isAcceptPaused;
 
@@ -46,18 +53,19 @@
             return 0;
         }
         try {
-            accepted.add(new ResilientSocketChannel(this, unprepared));
+            accepted.add(new ResilientSocketChannel(this, unprepared, waitingSince));
             unprepared = null;
             preparations.succeeded();
             return 1;
         } catch (ChannelException failure) {
-            Span delay = preparations.failed(Loop.readClock());
+            Time now = Loop.readClock();
+            Span delay = preparations.failed(now);
             if (delay == null) {
                 closeUnprepared();
                 preparations.succeeded();
                 delay = Span.ZERO;
             }
-            pause(delay);
+            pause(delay, now);
             return 0;
         }
     }
@@ -67,16 +75,41 @@
         try {
             SocketChannel socket = javaChannel().accept();
             accepts.succeeded();
+            if (socket == null) {
+                waitingSince = null;
+            }
             return socket;
         } catch (ClosedChannelException closed) {
             throw closed;
         } catch (IOException failure) {
-            pause(accepts.failed(Loop.readClock()));
+            Time now = Loop.readClock();
+            pause(accepts.failed(now), now);
             return null;
         }
     }
 
-    private void pause(Span delay) {
+    /**
+     * Stops accepting, as the limit on connections is reached, until {@link #resumeAccepting} is
+     * called.
+     */
+    public void suspendAccepting() {
+        markWaiting(Loop.readClock());
+        config().setAutoRead(false);
+    }
+
+    /** Accepts again; has no effect if connections are being accepted. */
+    public void resumeAccepting() {
+        config().setAutoRead(true);
+    }
+
+    private void markWaiting(Time now) {
+        if (waitingSince == null) {
+            waitingSince = now;
+        }
+    }
+
+    private void pause(Span delay, Time now) {
+        markWaiting(now);
         isAcceptPaused = true;
         removeAndSubmit(readOps);
         eventLoop().schedule(this::resume, delay.micros(), TimeUnit.MICROSECONDS);
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -3,6 +3,7 @@
 import gladewing.lifecycle.FailedCallPolicy;
 import gladewing.loop.Loop;
 import gladewing.router.Span;
+import gladewing.router.Time;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -38,15 +39,26 @@
     /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
     private boolean needsNoDelay;
 
+    /**
+     * The earliest time at which what is read next may have arrived; null if it is read as soon as
+     * it arrives.
+     */
+    private Time unreadSince;
+
     /** A connection to be opened. */
     ResilientSocketChannel(SocketChannel socket) {
         super(socket);
         setNoDelay();
     }
 
-    /** A connection that was accepted. */
-    ResilientSocketChannel(Channel acceptor, SocketChannel socket) {
+    /**
+     * A connection that was accepted.
+     *
+     * @param waitingSince the earliest time at which it may have come up; null for now
+     */
+    ResilientSocketChannel(Channel acceptor, SocketChannel socket, Time waitingSince) {
         super(acceptor, socket);
+        unreadSince = waitingSince;
         setNoDelay();
     }
 
@@ -86,7 +98,11 @@
 
     /** Pauses reading; returns the number of bytes that were read. */
     private int repeatRead(IOException failure) throws IOException {
-        Span delay = reads.failed(Loop.readClock());
+        Time now = Loop.readClock();
+        Span delay = reads.failed(now);
+        if (unreadSince == null) {
+            unreadSince = now;
+        }
         if (delay == null) {
             throw failure;
         }
@@ -104,6 +120,16 @@
         }
     }
 
+    /**
+     * Returns the earliest time at which the bytes that were just read may have arrived, if they
+     * may have waited because a call failed; otherwise null.
+     */
+    public Time takeUnreadSince() {
+        Time since = unreadSince;
+        unreadSince = null;
+        return since;
+    }
+
     @Override
     protected void doWrite(ChannelOutboundBuffer pending) throws Exception {
         if (needsNoDelay) {
--- a/src/test/java/gladewing/serve/SyscallFaultTest.java
+++ b/src/test/java/gladewing/serve/SyscallFaultTest.java
@@ -312,4 +312,43 @@
         frame.answer("r3.0", "ok", "zero");
         assertTrue(other.readResponse().startsWith("200"));
     }
+
+    /**
+     * Requests that no node answers wait while they can't be accepted or read, or behind another
+     * one on their connection. Guards against an answer that is late by the time they waited.
+     */
+    @ParameterizedTest
+    @CsvSource({"ACCEPT, EMFILE", "READ, EIO"})
+    void countsTheTimeThatARequestWaitedToBeRead(SyscallFaults.Call call, SyscallFaults.Error error)
+            throws Exception {
+        startWithFaults();
+        nodes.shutdownNow();
+        Client client = new Client().send("GET /health/ready HTTP/1.1\r\n\r\n");
+        client.readResponse();
+        faults.fail(call, error, SyscallFaults.ALWAYS);
+        CompletableFuture<Outcome> waiting =
+                call == SyscallFaults.Call.READ
+                        ? ask(client, SHORT_TIMEOUT_MILLIS)
+                        : ask(SHORT_TIMEOUT_MILLIS);
+        Thread.sleep(2 * FAULT_MILLIS);
+        faults.clear();
+        assertAnswered("waiting", waiting.get());
+    }
+
+    /** As above, without any failure. */
+    @Test
+    void countsTheTimeThatARequestWaitedBehindAnother() throws Exception {
+        startWithFaults();
+        nodes.shutdownNow();
+        Client client = new Client();
+        int[] shards = {0, 1};
+        Duration timeLimit = Duration.ofMillis(CLIENT_TIMEOUT_MILLIS);
+        long sentAt = System.nanoTime();
+        client.sendMultiget("report", "first", timeLimit, shards);
+        client.sendMultiget("report", "second", timeLimit, shards);
+        client.readResponse();
+        String response = client.readResponse();
+        long millis = (System.nanoTime() - sentAt) / 1_000_000;
+        assertAnswered("second", new Outcome(response, millis, CLIENT_TIMEOUT_MILLIS));
+    }
 }
