Read sockets that the selector may not watch

Callers on new connections got no answer, or 408 after 2.5 s, when epoll_ctl failed for a moment (ENOMEM). Cause: the JDK's selector ignores what epoll_ctl returns and takes the socket for registered, so its bytes are never told of; the same can hit the listener after accepting was suspended, and the rest of a blocked write. A socket counts as watched only once the selector has told of bytes since it was asked to; until then it is read every 200 ms, and registered anew if that finds any. The listener is polled at the same time, and what is left of a write is tried again after 50 ms. Connections in use cost nothing more.

NodeClientTest passes.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -260,6 +260,13 @@
         respond(status, "", "");
     }
 
+    /** Reads the socket if the selector may not watch it. */
+    void pollIfUnwatched() {
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.pollIfUnwatched();
+        }
+    }
+
     /**
      * Answers 408 and closes the connection if the client has not completed a request in time, even
      * if it keeps sending single bytes. An idle connection between requests may stay.
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -34,7 +34,7 @@
     private static final Logger LOG = Logger.getLogger(HttpServer.class.getName());
 
     private static final String VERSION_PATH = "/health/version";
-    private static final Span STALL_CHECK_INTERVAL = Span.ofMillis(200);
+    private static final Span CHECK_INTERVAL = Span.ofMillis(200);
 
     final Loop loop;
     final MultigetListener listener;
@@ -113,7 +113,7 @@
                                 })
                         .bind(address);
         acceptor = (ResilientServerSocketChannel) bound.channel();
-        loop.schedule(STALL_CHECK_INTERVAL, this::closeStalledConnections);
+        loop.schedule(CHECK_INTERVAL, this::checkConnections);
         return bound;
     }
 
@@ -197,10 +197,16 @@
         return routes == null ? null : routes.route(reader, timeLeft, loop.enterPass());
     }
 
-    private void closeStalledConnections() {
+    /** Reads what the selector may not have told of, and closes connections that have stalled. */
+    private void checkConnections() {
+        loop.schedule(CHECK_INTERVAL, this::checkConnections);
         Time now = loop.enterPass();
-        new ArrayList<>(connections).forEach(c -> c.closeIfStalled(now));
-        loop.schedule(STALL_CHECK_INTERVAL, this::closeStalledConnections);
+        acceptor.poll();
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            connection.pollIfUnwatched();
+            connection.closeIfStalled(now);
+        }
+        new ArrayList<>(upgraded).forEach(ClientConnection::pollIfUnwatched);
     }
 
     /** Sets how readiness checks are answered. */
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -30,6 +30,7 @@
 public final class NodeClient {
     private static final Logger LOG = Logger.getLogger(NodeClient.class.getName());
     private static final Span IDLE_CHECK_INTERVAL = Span.ofMillis(1000);
+    private static final Span POLL_INTERVAL = Span.ofMillis(200);
 
     private record DeferredCall(String node, List<InFlightTransmission> parts) {}
 
@@ -62,6 +63,15 @@
         this.options = options;
         this.listener = listener;
         loop.schedule(IDLE_CHECK_INTERVAL, this::closeIdle);
+        loop.schedule(POLL_INTERVAL, this::pollUnwatched);
+    }
+
+    /** Reads the connections that an answer is awaited on and the selector may not watch. */
+    private void pollUnwatched() {
+        loop.schedule(POLL_INTERVAL, this::pollUnwatched);
+        for (ConnectionPool pool : pools.values()) {
+            new ArrayList<>(pool.connections).forEach(NodeConnection::pollIfUnwatched);
+        }
     }
 
     /**
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -8,6 +8,7 @@
 import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -142,6 +143,13 @@
         }
     }
 
+    /** Reads the socket if an answer is awaited on it and the selector may not watch it. */
+    void pollIfUnwatched() {
+        if (!isIdle() && channel instanceof ResilientSocketChannel socket) {
+            socket.pollIfUnwatched();
+        }
+    }
+
     private void frameReceived() {
         earlierSilence = Span.ZERO;
         unansweredSince = isIdle() ? null : client.loop.enterPass();
--- a/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
@@ -22,6 +22,9 @@
     private static final FailedCallPolicy PREPARATION_POLICY =
             new FailedCallPolicy(Span.ofMillis(1000));
 
+    /** How long the socket stays unregistered for the selector to take it on anew. */
+    private static final Span REREGISTRATION_DELAY = Span.ofMillis(1);
+
     private final FailureSeries accepts = new FailureSeries(FailedCallPolicy.UNLIMITED);
     private final FailureSeries preparations = new FailureSeries(PREPARATION_POLICY);
 
@@ -34,6 +37,11 @@
      */
     private Time waitingSince;
 
+    /** When {@link #poll} was last called; null before. */
+    private Time lastPolledAt;
+
+    private boolean hasAccepted;
+
     /** Whether accepting pauses until a failed call is repeated. */
     private boolean isAcceptPaused;
 
@@ -55,6 +63,7 @@
         try {
             accepted.add(new ResilientSocketChannel(this, unprepared, waitingSince));
             unprepared = null;
+            hasAccepted = true;
             preparations.succeeded();
             return 1;
         } catch (ChannelException failure) {
@@ -123,6 +132,37 @@
         }
     }
 
+    /**
+     * Accepts without the selector having told of a connection, as the JDK does not report a
+     * failure to register the socket with epoll. If there is one, the socket is registered anew.
+     */
+    public void poll() {
+        Time now = Loop.readClock();
+        if (!isActive() || isAcceptPaused || !config().isAutoRead()) {
+            return;
+        }
+        if (waitingSince == null) {
+            waitingSince = lastPolledAt;
+        }
+        hasAccepted = false;
+        unsafe().read();
+        if (hasAccepted && isActive()) {
+            removeAndSubmit(readOps);
+            eventLoop()
+                    .schedule(
+                            this::acceptAgain,
+                            REREGISTRATION_DELAY.micros(),
+                            TimeUnit.MICROSECONDS);
+        }
+        lastPolledAt = now;
+    }
+
+    private void acceptAgain() {
+        if (isActive() && config().isAutoRead()) {
+            read();
+        }
+    }
+
     private void closeUnprepared() {
         if (unprepared != null) {
             SocketFactory.close(unprepared);
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -12,6 +12,8 @@
 import java.io.IOException;
 import java.net.SocketException;
 import java.nio.channels.ClosedChannelException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -30,12 +32,37 @@
      */
     private static final FailedCallPolicy POLICY = new FailedCallPolicy(Span.ofMillis(3000));
 
+    /** How long what is left of a write waits for the selector, which may not watch the socket. */
+    private static final Span FLUSH_CHECK_DELAY = Span.ofMillis(50);
+
+    /** How long a socket stays unregistered for the selector to take it on anew. */
+    private static final Span REREGISTRATION_DELAY = Span.ofMillis(1);
+
     private final FailureSeries reads = new FailureSeries(POLICY);
     private final FailureSeries writes = new FailureSeries(POLICY);
 
     /** Whether reading pauses until a failed read is repeated. */
     private boolean isReadPaused;
 
+    /**
+     * Whether the selector has told of bytes since it was asked to watch the socket. The JDK does
+     * not report a failure to register a socket with epoll, so until then it may not be watched.
+     */
+    private boolean isWatchConfirmed;
+
+    /** The selector that {@link #isWatchConfirmed} is about; Netty may replace it. */
+    private Selector watchingSelector;
+
+    /** Whether the socket is being read without the selector having told of bytes. */
+    private boolean isPolling;
+
+    private boolean hasPollFoundBytes;
+
+    /** When the socket was last known to hold no unread bytes while it may not be watched. */
+    private Time lastPolledAt;
+
+    private boolean isFlushCheckScheduled;
+
     /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
     private boolean needsNoDelay;
 
@@ -73,9 +100,14 @@
 
     @Override
     protected void doBeginRead() throws Exception {
-        if (!isReadPaused) {
-            super.doBeginRead();
+        if (isReadPaused) {
+            return;
+        }
+        if (registration().isValid() && !readOps.isIncludedIn(selectionKeyInUse().interestOps())) {
+            isWatchConfirmed = false;
+            lastPolledAt = Loop.readClock();
         }
+        super.doBeginRead();
     }
 
     @Override
@@ -93,6 +125,10 @@
             return 0;
         }
         reads.succeeded();
+        if (count != 0) {
+            hasPollFoundBytes = isPolling;
+            isWatchConfirmed = !isPolling;
+        }
         return count;
     }
 
@@ -116,7 +152,55 @@
         isReadPaused = false;
         if (isActive() && config().isAutoRead()) {
             read();
-            unsafe().read();
+            poll();
+        }
+    }
+
+    /**
+     * Reads the socket if the selector may not watch it. If that finds bytes, the socket is
+     * registered anew.
+     */
+    public void pollIfUnwatched() {
+        if (!isActive() || isReadPaused || !config().isAutoRead()) {
+            return;
+        }
+        Selector selector = selectionKeyInUse().selector();
+        if (selector != watchingSelector) {
+            watchingSelector = selector;
+            isWatchConfirmed = false;
+        }
+        if (isWatchConfirmed) {
+            return;
+        }
+        Time lastKnownEmpty = lastPolledAt;
+        boolean wasUnread = unreadSince != null;
+        if (!wasUnread) {
+            unreadSince = lastKnownEmpty;
+        }
+        poll();
+        if (hasPollFoundBytes && isActive()) {
+            removeAndSubmit(readOps);
+            schedule(this::readAgain, REREGISTRATION_DELAY);
+        } else if (!wasUnread) {
+            unreadSince = null;
+        }
+        lastPolledAt = Loop.readClock();
+    }
+
+    private SelectionKey selectionKeyInUse() {
+        return registration().attachment();
+    }
+
+    private void poll() {
+        isPolling = true;
+        hasPollFoundBytes = false;
+        unsafe().read();
+        isPolling = false;
+    }
+
+    private void readAgain() {
+        if (isActive() && config().isAutoRead()) {
+            read();
         }
     }
 
@@ -138,6 +222,10 @@
         try {
             super.doWrite(pending);
             writes.succeeded();
+            if (!pending.isEmpty() && !isFlushCheckScheduled) {
+                isFlushCheckScheduled = true;
+                schedule(this::checkFlush, FLUSH_CHECK_DELAY);
+            }
         } catch (ClosedChannelException ended) {
             throw ended;
         } catch (IOException failure) {
@@ -151,6 +239,11 @@
         }
     }
 
+    private void checkFlush() {
+        isFlushCheckScheduled = false;
+        unsafe().forceFlush();
+    }
+
     private void schedule(Runnable task, Span delay) {
         eventLoop().schedule(task, delay.micros(), TimeUnit.MICROSECONDS);
     }
