Keep asking discovery after a connection could not be created

The router went on with an old list for good when a socket could not be created for discovery (EMFILE, ENOBUFS, or an option that could not be set), and a new address at SIGHUP was never asked; what drained meanwhile was still sent to. Seen: "A task raised an exception" in the log, and no call in 10 s. Cause: the channel that the bootstrap returns then has no event loop; close() throws on it, in DiscoveryWatcher.failed before the next request is scheduled, and likewise ended the idle check of node connections. Its failure is told on a thread that may have to be created. ConnectionAttempt is the one place for both now, used by discovery, nodes, sessions and the control service. A socket that this machine does not have says nothing about a node: the call waits as at the limit of connections, and is tried again every 10 ms.

NodeClientTest passes.

--- a/src/main/java/gladewing/control/AnswerConnection.java
+++ b/src/main/java/gladewing/control/AnswerConnection.java
@@ -3,6 +3,7 @@
 import gladewing.buffer.ConnectionBuffer;
 import gladewing.http.MessageReader;
 import gladewing.loop.Loop;
+import gladewing.sockets.ConnectionAttempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -46,7 +47,7 @@
     void end(String failure) {
         if (!ended) {
             ended = true;
-            channel.close();
+            ConnectionAttempt.close(channel);
             onEnd.accept(failure);
         }
     }
--- a/src/main/java/gladewing/control/ControlClient.java
+++ b/src/main/java/gladewing/control/ControlClient.java
@@ -5,6 +5,7 @@
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.settings.Fault;
+import gladewing.sockets.ConnectionAttempt;
 import gladewing.versions.Manifest;
 import gladewing.versions.ReconnectBackoff;
 import gladewing.versions.RolloutStateMachine;
@@ -226,12 +227,8 @@
         ChannelFuture connecting =
                 bootstrap.clone().handler(connection).connect(settings.address());
         connection.setChannel(connecting.channel());
-        connecting.addListener(
-                done -> {
-                    if (!done.isSuccess()) {
-                        loop.runInLaterPass(() -> connection.fail("it can't be reached"));
-                    }
-                });
+        ConnectionAttempt.onFailure(
+                loop, connecting, cause -> connection.fail("it can't be reached"));
     }
 
     @Override
@@ -620,12 +617,8 @@
         ChannelFuture connecting =
                 bootstrap.clone().handler(connection).connect(settings.address());
         connection.setChannel(connecting.channel());
-        connecting.addListener(
-                done -> {
-                    if (!done.isSuccess()) {
-                        loop.runInLaterPass(() -> connection.end("it can't be reached"));
-                    }
-                });
+        ConnectionAttempt.onFailure(
+                loop, connecting, cause -> connection.end("it can't be reached"));
         loop.schedule(
                 settings.answerTimeout(),
                 () -> connection.end("no response within the time limit"));
--- a/src/main/java/gladewing/control/WatchConnection.java
+++ b/src/main/java/gladewing/control/WatchConnection.java
@@ -4,6 +4,7 @@
 import gladewing.loop.Loop;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.sockets.ConnectionAttempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -57,7 +58,7 @@
     void fail(String why) {
         if (!ended) {
             ended = true;
-            channel.close();
+            ConnectionAttempt.close(channel);
             listener.connectionFailed(this, why);
         }
     }
@@ -65,7 +66,7 @@
     /** Closes the connection without telling the listener. */
     void close() {
         ended = true;
-        channel.close();
+        ConnectionAttempt.close(channel);
     }
 
     /** Called when the last message has been handled: reading resumes. */
--- a/src/main/java/gladewing/discovery/DiscoveryConnection.java
+++ b/src/main/java/gladewing/discovery/DiscoveryConnection.java
@@ -2,6 +2,7 @@
 
 import gladewing.buffer.ConnectionBuffer;
 import gladewing.http.MessageReader;
+import gladewing.sockets.ConnectionAttempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -54,7 +55,7 @@
     }
 
     void close() {
-        channel.close();
+        ConnectionAttempt.close(channel);
     }
 
     @Override
--- a/src/main/java/gladewing/discovery/DiscoveryWatcher.java
+++ b/src/main/java/gladewing/discovery/DiscoveryWatcher.java
@@ -7,6 +7,7 @@
 import gladewing.loop.Loop;
 import gladewing.loop.Timer;
 import gladewing.router.Span;
+import gladewing.sockets.ConnectionAttempt;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
@@ -106,12 +107,8 @@
             connection = opened;
             ChannelFuture opening = bootstrap.clone().handler(opened).connect(address);
             opened.setChannel(opening.channel());
-            opening.addListener(
-                    done -> {
-                        if (!done.isSuccess()) {
-                            loop.runInLaterPass(() -> failed(opened, "cannot connect"));
-                        }
-                    });
+            ConnectionAttempt.onFailure(
+                    loop, opening, cause -> failed(opened, "cannot connect: " + cause));
         }
         DiscoveryConnection used = connection;
         boolean isWhole = revision < 0;
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -11,6 +11,7 @@
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.sockets.ConnectionAttempt;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -30,6 +31,10 @@
 public final class NodeClient {
     private static final Logger LOG = Logger.getLogger(NodeClient.class.getName());
     private static final Span IDLE_CHECK_INTERVAL = Span.ofMillis(1000);
+
+    /** How soon calls are tried again for which the machine had no socket. */
+    private static final Span NO_SOCKET_RETRY_DELAY = Span.ofMillis(10);
+
     private static final Span POLL_INTERVAL = Span.ofMillis(200);
 
     private record DeferredCall(String node, List<InFlightTransmission> parts) {}
@@ -43,8 +48,8 @@
     private final Map<Transmission, InFlightTransmission> inFlight = new HashMap<>();
 
     /**
-     * Calls for which no connection could be opened as the limit was reached, oldest first. Each
-     * waits for at most the connect timeout.
+     * Calls for which no connection could be opened, as the limit was reached or the machine had no
+     * socket, oldest first. Each waits for at most the connect timeout.
      */
     private final List<DeferredCall> deferredCalls = new ArrayList<>();
 
@@ -223,7 +228,8 @@
     /**
      * Returns a connection for a call, or for a probe if the call is empty. Opens one if none has
      * room, and also if a connection to the node broke recently, since a call should then not share
-     * one. Returns null if the node is not listed or the limit of connections is reached.
+     * one. Returns null if the node is not listed, the limit of connections is reached, or the
+     * machine has no socket for another.
      */
     private NodeConnection connectionFor(String node, List<InFlightTransmission> call) {
         ConnectionPool pool = pools.get(node);
@@ -256,6 +262,14 @@
         pool.connections.add(connection);
         connectionCount++;
         ChannelFuture opening = connector.connect(connection, pool.incarnation.address());
+        if (ConnectionAttempt.hasNoSocket(opening)) {
+            // Says nothing about the node: what is to be sent waits as at the limit.
+            events.record(Event.NODE_CONNECT_FAILED, pool.node, opening.cause());
+            pool.connections.remove(connection);
+            connectionCount--;
+            loop.schedule(NO_SOCKET_RETRY_DELAY, this::sendDeferredCalls);
+            return null;
+        }
         connection.setChannel(opening.channel());
         events.record(Event.NODE_CONNECTING, pool.node, pool.incarnation.address());
         loop.schedule(
@@ -266,16 +280,12 @@
                         close(connection);
                     }
                 });
-        opening.addListener(
-                done -> {
-                    if (!done.isSuccess()) {
-                        Throwable cause = done.cause();
-                        loop.runInLaterPass(
-                                () -> {
-                                    events.record(Event.NODE_CONNECT_FAILED, pool.node, cause);
-                                    connection.connectionLost();
-                                });
-                    }
+        ConnectionAttempt.onFailure(
+                loop,
+                opening,
+                cause -> {
+                    events.record(Event.NODE_CONNECT_FAILED, pool.node, cause);
+                    connection.connectionLost();
                 });
         return connection;
     }
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -8,6 +8,7 @@
 import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
+import gladewing.sockets.ConnectionAttempt;
 import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -261,7 +262,7 @@
 
     void close() {
         if (channel != null) {
-            channel.close();
+            ConnectionAttempt.close(channel);
         }
     }
 
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -8,6 +8,7 @@
 import gladewing.nodes.Connector;
 import gladewing.sessionpolicy.MessageTracker;
 import gladewing.sessionpolicy.UpstreamConnection;
+import gladewing.sockets.ConnectionAttempt;
 import gladewing.websocket.CloseCode;
 import gladewing.websocket.FrameEncoder;
 import gladewing.websocket.Handshake;
@@ -75,14 +76,8 @@
     void open(Connector connector, InetSocketAddress endpoint) {
         ChannelFuture opening = connector.connect(this, endpoint);
         channel = opening.channel();
-        opening.addListener(
-                done -> {
-                    if (!done.isSuccess()) {
-                        // Reported in a later pass, as the planner may still be opening this
-                        // connection.
-                        server.loop.runInLaterPass(() -> finish(true));
-                    }
-                });
+        // Reported in a later pass, as the planner may still be opening this connection.
+        ConnectionAttempt.onFailure(server.loop, opening, cause -> finish(true));
     }
 
     @Override
@@ -328,7 +323,7 @@
         }
         boolean wasClosedByNode = closeReceived;
         state = State.CLOSED;
-        channel.close();
+        ConnectionAttempt.close(channel);
         for (int i = 0; isSending && i < connection.shardCount(); i++) {
             int shardIndex = connection.shardIndex(i);
             MessageTracker.LostRange lost = client.tracker.takeLost(shardIndex);
