Create no thread while serving

Discovery was no longer asked, for good, after a connection to it had ended while no thread could be created (EAGAIN). Cause: a thread was started to read the configuration at each failure of discovery; its OutOfMemoryError left DiscoveryWatcher.failed before the next request was scheduled. The thread is started with the router now (WorkerThread), the control service's too, and the next request is scheduled before the listener is told.

--- a/src/main/java/gladewing/control/ControlClient.java
+++ b/src/main/java/gladewing/control/ControlClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gladewing.loop.Loop;
+import gladewing.loop.WorkerThread;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.settings.Fault;
@@ -19,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -62,13 +62,7 @@
     private final LongSupplier unixMillis;
     private final ReconnectBackoff watchBackoff;
     private final ReconnectBackoff answerBackoff;
-    private final ExecutorService worker =
-            Executors.newSingleThreadExecutor(
-                    work -> {
-                        Thread thread = new Thread(work, "control");
-                        thread.setDaemon(true);
-                        return thread;
-                    });
+    private final ExecutorService worker = WorkerThread.start("control");
     private final CompiledVersion startupFiles;
     private CompiledVersion inForce;
     private CompiledVersion lastGood;
--- a/src/main/java/gladewing/discovery/DiscoveryWatcher.java
+++ b/src/main/java/gladewing/discovery/DiscoveryWatcher.java
@@ -169,7 +169,8 @@
             LOG.warning("discovery failed, the last list is kept: " + reason);
             isFailing = true;
         }
-        listener.discoveryFailed();
+        // Scheduled first, so that a fault of the listener does not end the watch.
         timer = loop.schedule(RETRY_DELAY, this::requestList);
+        listener.discoveryFailed();
     }
 }
--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -4,6 +4,7 @@
 import gladewing.config.Config;
 import gladewing.json.InvalidInputException;
 import gladewing.loop.Loop;
+import gladewing.loop.WorkerThread;
 import gladewing.routes.RouteTable;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -12,6 +13,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.logging.Logger;
 import sun.misc.Signal;
@@ -94,15 +96,9 @@
             if (controlIntegration != null) {
                 thread.submit(() -> controlIntegration.start(runtime, bootstrap)).get();
             }
+            Executor configReader = WorkerThread.start("configuration");
             runtime.onDiscoveryFailure(
-                    () -> {
-                        Thread reader =
-                                new Thread(
-                                        () -> rereadConfig(configPath, thread, runtime),
-                                        "configuration");
-                        reader.setDaemon(true);
-                        reader.start();
-                    });
+                    () -> configReader.execute(() -> rereadConfig(configPath, thread, runtime)));
             ChannelFuture listening = thread.submit(runtime::start).get();
             if (!listening.await().isSuccess()) {
                 throw new InvalidInputException(
