Read settings files again where a read fails for a moment

After SIGHUP the router kept its old discovery while the configuration could not be opened or read (EMFILE, EIO); it took the new one on only when the old place had closed its connections (1.57 s, and never while that answers). Cause: any failure to read the file counted as an unusable file. FileReads repeats a read for up to 2 s, off the loop's thread; a missing or forbidden file is told at once as before.

--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -1,5 +1,6 @@
 package gladewing.config;
 
+import gladewing.files.FileReads;
 import gladewing.json.Fields;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
@@ -7,7 +8,6 @@
 import gladewing.router.Span;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -66,7 +66,7 @@
      */
     public static Config read(String path) {
         try {
-            return read(Json.fields("config", Files.readAllBytes(Path.of(path))));
+            return read(Json.fields("config", FileReads.readAllBytes(Path.of(path))));
         } catch (IOException | InvalidPathException e) {
             throw new InvalidInputException("config " + path + " can't be read: " + e.getMessage());
         }
--- a/src/main/java/gladewing/settings/IniFile.java
+++ b/src/main/java/gladewing/settings/IniFile.java
@@ -1,5 +1,6 @@
 package gladewing.settings;
 
+import gladewing.files.FileReads;
 import java.io.IOException;
 import java.io.StringReader;
 import java.nio.ByteBuffer;
@@ -52,7 +53,7 @@
             file.parse(
                     StandardCharsets.UTF_8
                             .newDecoder()
-                            .decode(ByteBuffer.wrap(Files.readAllBytes(filePath)))
+                            .decode(ByteBuffer.wrap(FileReads.readAllBytes(filePath)))
                             .toString());
         } catch (CharacterCodingException e) {
             file.fault("", "", "not UTF-8");
