Send no frame that its socket has not taken within 50 ms

Cause: what a socket has not taken waits without bound, and nothing asked again whether it may still be sent: its multiget may have ended, its node may drain, the time that it names is too long. What a node's socket has not taken after 50 ms is never handed to it; the connection is closed and the parts end as not written. LifecycleRules is now the one place that decides whether something may be sent, started or closed, and checks at run time what has become of it: a frame taken late, a second answer, a close with an open multiget are counted and logged.

Result: SyscallFaultTest.sendsNothingForAClientThatLeftWhileWritesFailed[1] failed before and passes.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -121,7 +121,7 @@
 
     private void processRequests() {
         // No more requests are processed while the client does not read its responses.
-        while (openMultiget == null && !isClosing && channel.isWritable()) {
+        while (server.rules.mayStart(openMultiget != null, isClosing, channel.isWritable())) {
             MessageReader.Progress progress = message.read(received);
             if (progress == MessageReader.Progress.INCOMPLETE) {
                 arrivedAt = null;
@@ -285,7 +285,7 @@
      * closed first, and a negative one never is.
      */
     int evictionRank(Time now) {
-        if (openMultiget != null || isResponding()) {
+        if (!mayClose()) {
             return -1;
         }
         if (isClosing) {
@@ -306,14 +306,16 @@
         return lastResponse != null && !lastResponse.isDone();
     }
 
+    private boolean mayClose() {
+        return server.rules.mayClose(openMultiget != null, isResponding());
+    }
+
     boolean isIdle() {
-        return openMultiget == null
-                && !isResponding()
-                && !message.isMidMessage()
-                && received.size() == 0;
+        return mayClose() && !message.isMidMessage() && received.size() == 0;
     }
 
     void close() {
+        server.rules.checkClosed(openMultiget != null);
         isClosing = true;
         channel.close();
     }
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -3,6 +3,7 @@
 import gladewing.events.Event;
 import gladewing.events.RouterEvents;
 import gladewing.http.MessageReader;
+import gladewing.lifecycle.LifecycleRules;
 import gladewing.loop.Loop;
 import gladewing.router.RetryPolicy;
 import gladewing.router.Span;
@@ -40,6 +41,7 @@
     final MultigetListener listener;
     final RequestReader reader;
     final RouterEvents events;
+    final LifecycleRules rules;
     private final IntSupplier maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
@@ -88,9 +90,11 @@
             ServedCatalog catalog,
             IntSupplier maxConnections,
             MultigetListener listener,
-            RouterEvents events) {
+            RouterEvents events,
+            LifecycleRules rules) {
         this.loop = loop;
         this.events = events;
+        this.rules = rules;
         this.maxConnections = maxConnections;
         this.listener = listener;
         this.reader = new RequestReader(catalog);
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -28,6 +28,9 @@
     TRANSMISSION_SENT,
     TRANSMISSION_ENDED,
 
+    /** A rule of {@code gladewing.lifecycle.LifecycleRules} was broken. */
+    RULE_VIOLATED,
+
     DISCOVERY_FAILED,
     DISCOVERY_MOVED,
     CONFIGURATION_KEPT
--- /dev/null
+++ b/src/main/java/gladewing/lifecycle/LifecycleRules.java
@@ -0,0 +1,105 @@
+package gladewing.lifecycle;
+
+import gladewing.router.Span;
+import java.util.function.Consumer;
+
+/**
+ * The one place that decides whether something may be sent to a data node, started for a client or
+ * closed now (whether a failed call is repeated is up to {@link FailedCallPolicy}), and that checks
+ * what has become of it. A rule that was broken is reported, never repaired.
+ */
+public final class LifecycleRules {
+    /**
+     * How long a frame may wait for its socket to take it. After a client has left, nothing may
+     * begin for it later than 0.1 s; half of that is for noticing that it has left.
+     */
+    public static final Span MAX_SEND_DELAY = Span.ofMillis(50);
+
+    /** How long the process may be held up between a decision and its write. */
+    private static final Span MAX_HOLD_UP = Span.ofMillis(150);
+
+    private static final Span LATEST_SEND = MAX_SEND_DELAY.plus(MAX_HOLD_UP);
+
+    /** A rule that was broken. */
+    public enum Violation {
+        /** A frame was taken by its socket so late that its multiget may have ended long before. */
+        SENT_LATE,
+        /** A multiget got a second final answer. */
+        ANSWERED_TWICE,
+        /** The router closed a client's connection with a multiget open on it. */
+        CLOSED_UNANSWERED
+    }
+
+    private final Consumer<Violation> reporter;
+
+    /**
+     * @param reporter is told of each violation
+     */
+    public LifecycleRules(Consumer<Violation> reporter) {
+        this.reporter = reporter;
+    }
+
+    /**
+     * Whether a part may be sent to a node, for the first time or again.
+     *
+     * @param hasEnded whether its multiget has its final answer, or needs none any more
+     * @param isDraining whether the node takes nothing new
+     */
+    public boolean maySend(boolean hasEnded, boolean isDraining) {
+        return !hasEnded && !isDraining;
+    }
+
+    /**
+     * Whether the next request of a client's connection may be started.
+     *
+     * @param hasOpenRequest whether an earlier one is not answered
+     * @param isClosing whether the connection is closed, or will be soon
+     * @param isWritable whether the client reads its responses
+     */
+    public boolean mayStart(boolean hasOpenRequest, boolean isClosing, boolean isWritable) {
+        return !hasOpenRequest && !isClosing && isWritable;
+    }
+
+    /**
+     * Whether the router may close a client's connection of its own accord.
+     *
+     * @param hasOpenRequest whether a request on it is not answered
+     * @param isResponding whether a response is not written out
+     */
+    public boolean mayClose(boolean hasOpenRequest, boolean isResponding) {
+        return !hasOpenRequest && !isResponding;
+    }
+
+    /**
+     * Checks a frame that its socket has taken as a whole.
+     *
+     * @param sinceDecision since {@link #maySend} allowed it
+     */
+    public void checkSent(Span sinceDecision) {
+        if (sinceDecision.longerThan(LATEST_SEND)) {
+            reporter.accept(Violation.SENT_LATE);
+        }
+    }
+
+    /**
+     * Checks a final answer.
+     *
+     * @param isOpen whether its multiget had none yet
+     */
+    public void checkAnswered(boolean isOpen) {
+        if (!isOpen) {
+            reporter.accept(Violation.ANSWERED_TWICE);
+        }
+    }
+
+    /**
+     * Checks the close of a client's connection by the router.
+     *
+     * @param hasOpenRequest whether a request on it is not answered
+     */
+    public void checkClosed(boolean hasOpenRequest) {
+        if (hasOpenRequest) {
+            reporter.accept(Violation.CLOSED_UNANSWERED);
+        }
+    }
+}
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -7,6 +7,7 @@
 import gladewing.frames.LoadReport;
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
+import gladewing.lifecycle.LifecycleRules;
 import gladewing.loop.Loop;
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
@@ -43,6 +44,7 @@
     private final Connector connector;
     final NodeClientOptions options;
     final RouterEvents events;
+    final LifecycleRules rules;
     private final NodeEventListener listener;
     private final Map<String, ConnectionPool> pools = new LinkedHashMap<>();
     private final Map<Transmission, InFlightTransmission> inFlight = new HashMap<>();
@@ -61,9 +63,11 @@
             Connector connector,
             NodeClientOptions options,
             NodeEventListener listener,
-            RouterEvents events) {
+            RouterEvents events,
+            LifecycleRules rules) {
         this.loop = loop;
         this.events = events;
+        this.rules = rules;
         this.connector = connector;
         this.options = options;
         this.listener = listener;
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -5,6 +5,8 @@
 import gladewing.frames.FrameReader;
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
+import gladewing.lifecycle.LifecycleRules;
+import gladewing.loop.Loop;
 import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
@@ -87,6 +89,9 @@
     /** Sets the channel, which may not be connected yet. */
     void setChannel(Channel newChannel) {
         channel = newChannel;
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.setMaxWriteDelay(LifecycleRules.MAX_SEND_DELAY);
+        }
     }
 
     boolean isUp() {
@@ -202,14 +207,13 @@
      */
     private void writeCall(List<InFlightTransmission> call) {
         Time now = client.loop.enterPass();
-        call.stream()
-                .filter(part -> pool.isDraining || part.transmission.multiget.hasEnded())
-                .forEach(client::notSent);
+        call.stream().filter(part -> !maySend(part)).forEach(client::notSent);
         List<InFlightTransmission> remaining = call.stream().filter(part -> !part.isEnded).toList();
         if (!remaining.isEmpty()) {
             List<NodeFrames.CallPart> parts =
                     remaining.stream().map(part -> part.callPart(now)).toList();
             ChannelFuture frameWrite = write(NodeFrames.call(channel.alloc(), parts));
+            frameWrite.addListener(done -> checkSent(frameWrite, now));
             for (InFlightTransmission part : remaining) {
                 part.frameWrite = frameWrite;
                 client.events.record(Event.TRANSMISSION_SENT, part.id, this);
@@ -217,6 +221,16 @@
         }
     }
 
+    private boolean maySend(InFlightTransmission part) {
+        return client.rules.maySend(part.transmission.multiget.hasEnded(), pool.isDraining);
+    }
+
+    private void checkSent(ChannelFuture frameWrite, Time decidedAt) {
+        if (frameWrite.isSuccess()) {
+            client.rules.checkSent(Loop.readClock().since(decidedAt));
+        }
+    }
+
     private ChannelFuture write(ByteBuf frame) {
         lastUsedAt = client.loop.enterPass();
         lastWriteAt = lastUsedAt;
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -14,7 +14,9 @@
 import gladewing.discovery.DiscoveryListener;
 import gladewing.discovery.DiscoveryWatcher;
 import gladewing.discovery.NodeListUpdate;
+import gladewing.events.Event;
 import gladewing.events.RouterEvents;
+import gladewing.lifecycle.LifecycleRules;
 import gladewing.loop.Loop;
 import gladewing.nodes.Connector;
 import gladewing.nodes.NodeClient;
@@ -72,6 +74,7 @@
     private final GracefulShutdown shutdown;
     private final DescriptorBudget descriptors;
     private final RouterEvents events = new RouterEvents();
+    private final LifecycleRules rules = new LifecycleRules(this::ruleViolated);
 
     /** Null without long-lived sessions. */
     private final SessionServer live;
@@ -89,6 +92,7 @@
     /** Null without a control service. */
     private NodeListCache nodeListCache;
 
+    private boolean isStarted;
     private long finished;
     private long dismissed;
     private long givenUp;
@@ -128,10 +132,11 @@
                                 config.settings().permissions().withdrawals(),
                                 limits.loadProbes()),
                         this,
-                        events);
+                        events,
+                        rules);
         ServedCatalog catalog =
                 new ServedCatalog(config.products(), config.tenants(), config.shards());
-        httpServer = new HttpServer(loop, catalog, this::maxClientConnections, this, events);
+        httpServer = new HttpServer(loop, catalog, this::maxClientConnections, this, events, rules);
         discoveryWatcher =
                 new DiscoveryWatcher(
                         loop,
@@ -156,6 +161,17 @@
         loop.start(this);
     }
 
+    private void ruleViolated(LifecycleRules.Violation violation) {
+        if (!isStarted) {
+            // The warm-up is slow, and sends nothing.
+            return;
+        }
+        if (events.count(Event.RULE_VIOLATED) == 0) {
+            LOG.severe("a rule was broken: " + violation);
+        }
+        events.record(Event.RULE_VIOLATED, violation, "");
+    }
+
     private int maxNodeConnections() {
         return descriptors.forNodes(httpServer.connectionCount());
     }
@@ -187,6 +203,7 @@
      * list of data nodes is that of the configuration or, if it is empty, the saved one.
      */
     ChannelFuture start() {
+        isStarted = true;
         loop.enterPass();
         NodeListUpdate knownNodes =
                 NodeListUpdate.parse(config.knownNodes(), config.settings().shards().cells());
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -33,11 +33,13 @@
     private static final FailedCallPolicy POLICY = new FailedCallPolicy(Span.ofMillis(3000));
 
     /** How long what is left of a write waits for the selector, which may not watch the socket. */
-    private static final Span FLUSH_CHECK_DELAY = Span.ofMillis(50);
+    private static final Span FLUSH_CHECK_DELAY = Span.ofMillis(25);
 
     /** How long a socket stays unregistered for the selector to take it on anew. */
     private static final Span REREGISTRATION_DELAY = Span.ofMillis(1);
 
+    private static final Span NO_LIMIT = new Span(Long.MAX_VALUE);
+
     private final FailureSeries reads = new FailureSeries(POLICY);
     private final FailureSeries writes = new FailureSeries(POLICY);
 
@@ -63,6 +65,11 @@
 
     private boolean isFlushCheckScheduled;
 
+    /** Since when something that was written has not been taken by the socket; null for nothing. */
+    private Time blockedSince;
+
+    private Span maxWriteDelay = NO_LIMIT;
+
     /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
     private boolean needsNoDelay;
 
@@ -98,6 +105,14 @@
         }
     }
 
+    /**
+     * Sets how long the socket may take for what was written. After that nothing more is handed to
+     * it, and the connection is closed. There is no limit at first.
+     */
+    public void setMaxWriteDelay(Span delay) {
+        maxWriteDelay = delay;
+    }
+
     @Override
     protected void doBeginRead() throws Exception {
         if (isReadPaused) {
@@ -219,26 +234,42 @@
         if (needsNoDelay) {
             setNoDelay();
         }
+        Time now = Loop.readClock();
+        if (blockedSince != null && now.since(blockedSince).longerThan(maxWriteDelay)) {
+            throw new IOException("the socket has not taken in time what was written");
+        }
         try {
             super.doWrite(pending);
             writes.succeeded();
-            if (!pending.isEmpty() && !isFlushCheckScheduled) {
-                isFlushCheckScheduled = true;
-                schedule(this::checkFlush, FLUSH_CHECK_DELAY);
+            if (pending.isEmpty()) {
+                blockedSince = null;
+            } else {
+                checkFlushLater(now);
             }
         } catch (ClosedChannelException ended) {
             throw ended;
         } catch (IOException failure) {
             // A connection that has ended is noticed by reading, so failed writes need not tell.
-            Span delay = writes.failed(Loop.readClock());
+            Span delay = writes.failed(now);
             if (delay == null) {
                 throw failure;
             }
+            checkFlushLater(now);
             clearOpWrite();
             schedule(unsafe()::forceFlush, delay);
         }
     }
 
+    private void checkFlushLater(Time now) {
+        if (blockedSince == null) {
+            blockedSince = now;
+        }
+        if (!isFlushCheckScheduled) {
+            isFlushCheckScheduled = true;
+            schedule(this::checkFlush, FLUSH_CHECK_DELAY);
+        }
+    }
+
     private void checkFlush() {
         isFlushCheckScheduled = false;
         unsafe().forceFlush();
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -9,23 +9,26 @@
 import gladewing.decisions.Decisions;
 import gladewing.decisions.Transmission;
 import gladewing.events.RouterEvents;
+import gladewing.lifecycle.LifecycleRules;
 import gladewing.loop.Loop;
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.router.Trace;
 import gladewing.serve.ServeTestHarness.FakeDataNode;
+import gladewing.sockets.SocketFactory;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -39,6 +42,7 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop thread = group.next();
     private final BlockingQueue<String> endsReported = new LinkedBlockingQueue<>();
+    private final Queue<LifecycleRules.Violation> violations = new ConcurrentLinkedQueue<>();
     private final StringBuilder trace = new StringBuilder();
     private NodeClient client;
 
@@ -76,7 +80,7 @@
                     Bootstrap bootstrap =
                             new Bootstrap()
                                     .group(thread)
-                                    .channel(NioSocketChannel.class)
+                                    .channelFactory(SocketFactory::newSocket)
                                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
                     client =
                             new NodeClient(
@@ -92,7 +96,8 @@
                                             withdrawalsAllowed,
                                             true),
                                     this,
-                                    new RouterEvents());
+                                    new RouterEvents(),
+                                    new LifecycleRules(violations::add));
                 });
     }
 
@@ -130,6 +135,7 @@
 
     @AfterEach
     void stop() {
+        assertEquals(List.of(), List.copyOf(violations));
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
