Accept what waits before the listener closes at a shutdown

At SIGTERM callers whose connections waited to be accepted were reset 550 ms later, with requests written on them, when accept failed until then. Cause: the listener was closed with what waited in it. It accepts all of that first now, and stays open while accepting fails, until connections are drained.

Result: SyscallFaultTest.answersWaitingConnectionsWhenItEndsWhileAcceptFails[2] (700 ms) failed before, "Connection reset after 548 ms", and passes.

--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -37,6 +37,8 @@
     private static final String VERSION_PATH = "/health/version";
     private static final Span CHECK_INTERVAL = Span.ofMillis(200);
 
+    private static final Span STOP_ACCEPTING_RETRY_DELAY = Span.ofMillis(10);
+
     final Loop loop;
     final MultigetListener listener;
     final RequestReader reader;
@@ -246,8 +248,20 @@
         return isDraining || isFull;
     }
 
+    /**
+     * Accepts what has come up, then closes the listener; connections that wait would be reset with
+     * it. While accepting fails, the listener stays open until connections are drained.
+     */
     public void stopAccepting() {
-        acceptor.close();
+        boolean hasAccepted = true;
+        while (hasAccepted) {
+            hasAccepted = acceptor.poll();
+        }
+        if (acceptor.isFailing() && !isDraining) {
+            loop.schedule(STOP_ACCEPTING_RETRY_DELAY, this::stopAccepting);
+        } else {
+            acceptor.close();
+        }
     }
 
     /** Closes idle connections now, and each other one after its next response. */
--- a/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
@@ -135,11 +135,13 @@
     /**
      * Accepts without the selector having told of a connection, as the JDK does not report a
      * failure to register the socket with epoll. If there is one, the socket is registered anew.
+     *
+     * @return whether any was accepted
      */
-    public void poll() {
+    public boolean poll() {
         Time now = Loop.readClock();
         if (!isActive() || isAcceptPaused || !config().isAutoRead()) {
-            return;
+            return false;
         }
         if (waitingSince == null) {
             waitingSince = lastPolledAt;
@@ -155,6 +157,12 @@
                             TimeUnit.MICROSECONDS);
         }
         lastPolledAt = now;
+        return hasAccepted;
+    }
+
+    /** Whether the last attempt to accept a connection has failed. */
+    public boolean isFailing() {
+        return accepts.isFailing() || preparations.isFailing();
     }
 
     private void acceptAgain() {
--- a/src/test/java/gladewing/serve/SyscallFaultTest.java
+++ b/src/test/java/gladewing/serve/SyscallFaultTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * System calls of a running router fail for a moment. Guards against requests that get no whole
@@ -269,15 +270,19 @@
         assertTrue(moved.awaitWatch(9, HANGUP_MILLIS - FAULT_MILLIS), "the new one is not asked");
     }
 
-    /** Guards against connections that wait to be accepted when the router stops accepting. */
-    @Test
-    void answersWaitingConnectionsWhenItEndsWhileAcceptFails() throws Exception {
+    /**
+     * Guards against connections that wait to be accepted when the router stops accepting, which is
+     * 550 ms after the signal.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {FAULT_MILLIS, 700})
+    void answersWaitingConnectionsWhenItEndsWhileAcceptFails(int faultMillis) throws Exception {
         startWithFaults();
         faults.fail(SyscallFaults.Call.ACCEPT, SyscallFaults.Error.EMFILE, SyscallFaults.ALWAYS);
         signal("TERM");
         Thread.sleep(20);
         CompletableFuture<Outcome> waiting = ask(CLIENT_TIMEOUT_MILLIS);
-        Thread.sleep(FAULT_MILLIS);
+        Thread.sleep(faultMillis);
         faults.clear();
         assertAnswered("waiting", waiting.get());
     }
