Keep an accepted connection that could not be set to non-blocking

Callers on new connections were reset while fcntl(F_SETFL) failed. Cause: Netty closes a socket that it can't configure, so the channel that was tried again was of a closed socket. The listener sets it to non-blocking itself, and tries that again.

Result: SyscallFaultTest.answersRequestsWhileACallFails[13] (FCNTL_SET_FLAGS) failed before, "Connection reset after 3 ms", and passes.

--- a/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
@@ -61,12 +61,14 @@
             return 0;
         }
         try {
+            // Netty would close a socket that it can't configure, and does not configure it again.
+            unprepared.configureBlocking(false);
             accepted.add(new ResilientSocketChannel(this, unprepared, waitingSince));
             unprepared = null;
             hasAccepted = true;
             preparations.succeeded();
             return 1;
-        } catch (ChannelException failure) {
+        } catch (IOException | ChannelException failure) {
             Time now = Loop.readClock();
             Span delay = preparations.failed(now);
             if (delay == null) {
