Send nothing for a client that left while it could not be noticed

Causes: a request that waited to be accepted or read is begun although its end waits behind it in the socket, and Netty tells of an end only in a task after the pass, when its parts are sent; and while reads fail, which they are repeated through now, an end can't be seen at all. Client sockets are read until nothing is left, the end is told within the pass, and a multiget whose connection has been unreadable for 50 ms is given up, with its answer.

Result: SyscallFaultTest.sendsNothingForAClientThatLeftUnseen, both rows, failed before ("Q r1.0") and pass.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -3,9 +3,11 @@
 import gladewing.buffer.ConnectionBuffer;
 import gladewing.events.Event;
 import gladewing.http.MessageReader;
+import gladewing.lifecycle.LifecycleRules;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.routes.RoutingDecision;
+import gladewing.sockets.ReadEvent;
 import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -203,6 +205,43 @@
         }
     }
 
+    /**
+     * Withdraws the open multiget in the pass that reads the end of the connection, so that nothing
+     * is sent for it, and gives it up if reads keep failing: it is not known then whether the
+     * client is still there.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == ReadEvent.ENDED) {
+            server.loop.enterPass();
+            abandonMultiget();
+        } else if (event == ReadEvent.FAILED && openMultiget != null) {
+            ClientMultiget unknown = openMultiget;
+            server.loop.schedule(LifecycleRules.MAX_READ_FAILURE, () -> giveUpIfUnread(unknown));
+        }
+    }
+
+    private void giveUpIfUnread(ClientMultiget multiget) {
+        if (multiget == openMultiget
+                && channel instanceof ResilientSocketChannel socket
+                && socket.isReadFailing()) {
+            server.events.record(Event.REQUEST_ABANDONED, multiget.id, ReadEvent.FAILED);
+            server.listener.clientDisconnected(multiget);
+            multiget.givenUp();
+        }
+    }
+
+    /** Withdraws the open multiget, as its client has left. */
+    private void abandonMultiget() {
+        if (openMultiget != null) {
+            ClientMultiget abandoned = openMultiget;
+            openMultiget = null;
+            server.releaseId(abandoned.id);
+            server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
+            server.listener.clientDisconnected(abandoned);
+        }
+    }
+
     private void sendContinueIfExpected() {
         if (message.expectsContinue() && !continueSent) {
             continueSent = true;
@@ -350,13 +389,7 @@
         if (upgraded != null) {
             upgraded.connectionClosed();
         }
-        if (openMultiget != null) {
-            ClientMultiget abandoned = openMultiget;
-            openMultiget = null;
-            server.releaseId(abandoned.id);
-            server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
-            server.listener.clientDisconnected(abandoned);
-        }
+        abandonMultiget();
     }
 
     @Override
--- a/src/main/java/gladewing/lifecycle/LifecycleRules.java
+++ b/src/main/java/gladewing/lifecycle/LifecycleRules.java
@@ -15,6 +15,12 @@
      */
     public static final Span MAX_SEND_DELAY = Span.ofMillis(50);
 
+    /**
+     * How long a client's connection may be unreadable before its multiget is given up. It became
+     * readable with nothing to be expected but its end, so the client has most likely left.
+     */
+    public static final Span MAX_READ_FAILURE = Span.ofMillis(50);
+
     /** How long the process may be held up between a decision and its write. */
     private static final Span MAX_HOLD_UP = Span.ofMillis(150);
 
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -5,6 +5,7 @@
 import gladewing.router.Span;
 import gladewing.router.Time;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -93,6 +94,10 @@
     ResilientSocketChannel(Channel acceptor, SocketChannel socket, Time waitingSince) {
         super(acceptor, socket);
         unreadSince = waitingSince;
+        // Reads until nothing is left, so that a request whose client has left already is seen to
+        // have been left in the pass that reads it, before anything is sent for it.
+        config().setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false));
         setNoDelay();
     }
 
@@ -132,6 +137,7 @@
             count = super.doReadBytes(target);
         } catch (SocketException | ClosedChannelException ended) {
             // The JDK tells a reset by the other side from all other failures by its type.
+            pipeline().fireUserEventTriggered(ReadEvent.ENDED);
             throw ended;
         } catch (IOException failure) {
             return repeatRead(failure);
@@ -140,6 +146,9 @@
             return 0;
         }
         reads.succeeded();
+        if (count < 0) {
+            pipeline().fireUserEventTriggered(ReadEvent.ENDED);
+        }
         if (count != 0) {
             hasPollFoundBytes = isPolling;
             isWatchConfirmed = !isPolling;
@@ -159,6 +168,7 @@
         }
         isReadPaused = true;
         removeAndSubmit(readOps);
+        pipeline().fireUserEventTriggered(ReadEvent.FAILED);
         schedule(this::resumeReading, delay);
         return 0;
     }
@@ -219,6 +229,11 @@
         }
     }
 
+    /** Whether the last read has failed, so that it is not known what the other side does. */
+    public boolean isReadFailing() {
+        return reads.isFailing();
+    }
+
     /**
      * Returns the earliest time at which the bytes that were just read may have arrived, if they
      * may have waited because a call failed; otherwise null.
--- a/src/test/java/gladewing/serve/SyscallFaultTest.java
+++ b/src/test/java/gladewing/serve/SyscallFaultTest.java
@@ -370,4 +370,43 @@
         long millis = (System.nanoTime() - sentAt) / 1_000_000;
         assertAnswered("second", new Outcome(response, millis, CLIENT_TIMEOUT_MILLIS));
     }
+
+    /**
+     * A client leaves while it can't be noticed: its connection can't be accepted, or not be read.
+     * Guards against parts that are sent for it later.
+     */
+    @ParameterizedTest
+    @CsvSource({"ACCEPT, EMFILE", "READ, EIO"})
+    void sendsNothingForAClientThatLeftUnseen(SyscallFaults.Call call, SyscallFaults.Error error)
+            throws Exception {
+        faults = new SyscallFaults(folder.resolve("faults"), 1);
+        environment.putAll(faults.environment());
+        startWithList();
+        faults.setPort(port);
+        FakeDataNode.Frame first = null;
+        Client client = null;
+        if (call == SyscallFaults.Call.READ) {
+            client = new Client().sendMultiget("report", "r1", 0);
+            first = nodeA.nextFrame();
+        }
+        faults.fail(call, error, SyscallFaults.ALWAYS);
+        if (client == null) {
+            client = new Client().sendMultiget("report", "r1", 0);
+        }
+        client.close();
+        Thread.sleep(FAULT_MILLIS / 2);
+        if (first != null) {
+            first.answer("r1.0", "busy", "");
+        }
+        Thread.sleep(FAULT_MILLIS);
+        faults.clear();
+        Client other = new Client().sendMultiget("report", "r2", 0);
+        FakeDataNode.Frame frame = nodeA.nextFrame();
+        while (!frame.text.startsWith("r2")) {
+            assertFalse(frame.letter == 'Q', "sent after the client had left: " + frame);
+            frame = nodeA.nextFrame();
+        }
+        frame.answer("r2.0", "ok", "zero");
+        assertTrue(other.readResponse().startsWith("200"));
+    }
 }
