--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -63,6 +63,7 @@
             MultiThreadIoEventLoopGroup group =
                     new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
+            ClassPreloader.run();
             WarmUp.run(config);
             Bootstrap bootstrap = RouterRuntime.bootstrap(thread);
             RouterRuntime runtime =
--- a/src/test/java/gladewing/serve/SyscallFaultTest.java
+++ b/src/test/java/gladewing/serve/SyscallFaultTest.java
@@ -9,6 +9,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -409,4 +410,36 @@
         frame.answer("r2.0", "ok", "zero");
         assertTrue(other.readResponse().startsWith("200"));
     }
+
+    /**
+     * Connections are reset while no file can be opened or read. Guards against classes that are
+     * loaded only when an error occurs: without them the event loop ends.
+     */
+    @Test
+    void goesOnWhileNoFileCanBeRead() throws Exception {
+        startWithFaults();
+        Client kept = new Client();
+        assertAnswered("first", ask(kept, CLIENT_TIMEOUT_MILLIS).get());
+        faults.fail(SyscallFaults.Call.OPEN, SyscallFaults.Error.EMFILE, SyscallFaults.ALWAYS);
+        faults.fail(SyscallFaults.Call.FILE_READ, SyscallFaults.Error.EIO, SyscallFaults.ALWAYS);
+        List<Socket> sockets = new ArrayList<>(nodeA.sockets);
+        sockets.addAll(nodeB.sockets);
+        sockets.addAll(discovery.sockets);
+        Client unusable = new Client().send("POST /nothing HTTP/1.1\r\nContent-Length: x\r\n\r\n");
+        sockets.add(new Client().sendMultiget("report", "left", 0, 1).socket);
+        Thread.sleep(30);
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        assertEquals("400 close", unusable.readResponse());
+        assertAnswered("kept", ask(kept, CLIENT_TIMEOUT_MILLIS).get());
+        Thread.sleep(FAULT_MILLIS);
+        faults.clear();
+        assertEquals("200", ask(CLIENT_TIMEOUT_MILLIS).get().response());
+        int revision = discovery.revision + 1;
+        discovery.setList(revision, false);
+        assertTrue(discovery.awaitWatch(revision, HANGUP_MILLIS), "discovery is no longer asked");
+        assertTrue(log.stream().noneMatch(line -> line.contains("NoClassDef")), log.toString());
+    }
 }
