Read client sockets until nothing is left, as was intended

Cause: the allocator that set allows one read at a time, so the end behind a request was seen in the next pass only. It allows 16.

--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -39,6 +39,9 @@
     /** How long a socket stays unregistered for the selector to take it on anew. */
     private static final Span REREGISTRATION_DELAY = Span.ofMillis(1);
 
+    /** How often a socket is read in a row; more than a request and the end after it need. */
+    private static final int MAX_READS = 16;
+
     private static final Span NO_LIMIT = new Span(Long.MAX_VALUE);
 
     private final FailureSeries reads = new FailureSeries(POLICY);
@@ -96,8 +99,10 @@
         unreadSince = waitingSince;
         // Reads until nothing is left, so that a request whose client has left already is seen to
         // have been left in the pass that reads it, before anything is sent for it.
-        config().setRecvByteBufAllocator(
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false));
+        AdaptiveRecvByteBufAllocator untilEmpty = new AdaptiveRecvByteBufAllocator();
+        untilEmpty.respectMaybeMoreData(false);
+        untilEmpty.maxMessagesPerRead(MAX_READS);
+        config().setRecvByteBufAllocator(untilEmpty);
         setNoDelay();
     }
 
