Add a randomized soak of real processes under faults that overlap in time

The oracle checks what clients and nodes have seen: one whole final answer in time, no wrong one, nothing sent after the end, twice, too often or to a draining node beyond the grace, no crash.

--- /dev/null
+++ b/src/test/java/gladewing/soak/SoakClient.java
@@ -0,0 +1,184 @@
+package gladewing.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+
+/** A client that sends one request after the other to one router, and keeps its connection. */
+final class SoakClient implements Runnable {
+    private static final String[] PRODUCTS = {"report", "sheet", "order"};
+    private static final int MIN_TIMEOUT_MILLIS = 200;
+    private static final int MAX_TIMEOUT_MILLIS = 2500;
+
+    /** How long after its time a client still waits, to see a late answer as such. */
+    private static final int PATIENCE_MILLIS = 1500;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 3000;
+
+    private final String name;
+    private final int router;
+    private final int port;
+    private final Random random;
+    private final Queue<SoakRequest> requests;
+    private final BooleanSupplier isRunning;
+    private final BooleanSupplier mayConnect;
+    private Socket socket;
+    private int count;
+
+    /**
+     * @param requests gets each request once it has ended
+     * @param mayConnect whether the front sends new connections to the router
+     */
+    SoakClient(
+            String name,
+            int router,
+            int port,
+            long seed,
+            Queue<SoakRequest> requests,
+            BooleanSupplier isRunning,
+            BooleanSupplier mayConnect) {
+        this.name = name;
+        this.router = router;
+        this.port = port;
+        this.random = new Random(seed);
+        this.requests = requests;
+        this.isRunning = isRunning;
+        this.mayConnect = mayConnect;
+    }
+
+    @Override
+    public void run() {
+        while (isRunning.getAsBoolean()) {
+            try {
+                if (socket == null && !mayConnect.getAsBoolean()) {
+                    Thread.sleep(10);
+                    continue;
+                }
+                ask();
+                Thread.sleep(random.nextInt(60));
+            } catch (InterruptedException stopped) {
+                break;
+            }
+        }
+        close();
+    }
+
+    private void ask() throws InterruptedException {
+        int shards = 1 + random.nextInt(4);
+        int timeoutMillis =
+                MIN_TIMEOUT_MILLIS + random.nextInt(MAX_TIMEOUT_MILLIS - MIN_TIMEOUT_MILLIS);
+        SoakRequest request =
+                new SoakRequest(
+                        name + "-" + ++count,
+                        router,
+                        PRODUCTS[random.nextInt(PRODUCTS.length)],
+                        shards,
+                        timeoutMillis);
+        try {
+            send(request);
+        } catch (IOException refused) {
+            request.ended(SoakRequest.End.NOT_ACCEPTED);
+            requests.add(request);
+            close();
+            Thread.sleep(20);
+            return;
+        }
+        if (random.nextInt(100) < 8) {
+            Thread.sleep(random.nextInt(150));
+            close();
+            request.ended(SoakRequest.End.LEFT);
+        } else {
+            receive(request);
+        }
+        requests.add(request);
+        if (socket != null && random.nextInt(100) < 10) {
+            close();
+        }
+    }
+
+    private void send(SoakRequest request) throws IOException {
+        if (socket == null) {
+            socket = new Socket();
+            socket.setTcpNoDelay(true);
+            socket.connect(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                    CONNECT_TIMEOUT_MILLIS);
+        }
+        StringBuilder parts = new StringBuilder();
+        for (int shard = 0; shard < request.shards; shard++) {
+            parts.append(shard == 0 ? "" : ",")
+                    .append("{\"shard\":")
+                    .append(shard)
+                    .append(",\"weight\":")
+                    .append(1.0 / request.shards)
+                    .append('}');
+        }
+        String body = "{\"shards\":[" + parts + "],\"q\":\"c4\"}";
+        String text =
+                "POST /"
+                        + request.product
+                        + " HTTP/1.1\r\nX-Request-ID: "
+                        + request.id
+                        + "\r\nX-Timeout-Ms: "
+                        + request.timeoutMillis
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body;
+        request.sentAt = System.nanoTime();
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        request.sentAt = System.nanoTime();
+    }
+
+    private void receive(SoakRequest request) {
+        StringBuilder head = new StringBuilder();
+        try {
+            socket.setSoTimeout(request.timeoutMillis + PATIENCE_MILLIS);
+            InputStream in = socket.getInputStream();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int c = in.read();
+                if (c < 0) {
+                    throw new IOException("end");
+                }
+                head.append((char) c);
+            }
+            int length =
+                    Integer.parseInt(
+                            head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
+            byte[] body = in.readNBytes(length);
+            if (body.length < length) {
+                throw new IOException("end");
+            }
+            request.status = head.substring(9, 12);
+            request.body = new String(body, StandardCharsets.UTF_8);
+            request.ended(SoakRequest.End.ANSWERED);
+            if (head.indexOf("Connection: close") > 0) {
+                close();
+            }
+        } catch (SocketTimeoutException none) {
+            request.ended(SoakRequest.End.SILENCE);
+            close();
+        } catch (IOException ended) {
+            request.ended(head.length() == 0 ? SoakRequest.End.CLOSED : SoakRequest.End.CUT);
+            close();
+        }
+    }
+
+    private void close() {
+        try {
+            if (socket != null) {
+                socket.close();
+            }
+        } catch (IOException ignored) {
+            // It is gone either way.
+        }
+        socket = null;
+    }
+}
