Try again to open the folder of versions where that fails for a moment

Cause: any failure counted as an unusable folder. The open is repeated for up to 2 s, by what reads the settings files (RepeatedFileCall, before FileReads). The soak's two programs share their threads' start.

--- a/src/main/java/gladewing/config/Config.java
+++ b/src/main/java/gladewing/config/Config.java
@@ -1,6 +1,6 @@
 package gladewing.config;
 
-import gladewing.files.FileReads;
+import gladewing.files.RepeatedFileCall;
 import gladewing.json.Fields;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
@@ -8,6 +8,7 @@
 import gladewing.router.Span;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -66,12 +67,16 @@
      */
     public static Config read(String path) {
         try {
-            return read(Json.fields("config", FileReads.readAllBytes(Path.of(path))));
+            return read(Json.fields("config", readFile(Path.of(path))));
         } catch (IOException | InvalidPathException e) {
             throw new InvalidInputException("config " + path + " can't be read: " + e.getMessage());
         }
     }
 
+    private static byte[] readFile(Path path) throws IOException {
+        return RepeatedFileCall.run(() -> Files.readAllBytes(path));
+    }
+
     /**
      * The top-level fields in which another configuration differs and which take effect only at a
      * start of the process; empty if there are none.
--- a/src/main/java/gladewing/control/ControlStateStore.java
+++ b/src/main/java/gladewing/control/ControlStateStore.java
@@ -8,6 +8,7 @@
 import gladewing.durable.DiskDirectory;
 import gladewing.durable.StateDirectory;
 import gladewing.durable.StateStore;
+import gladewing.files.RepeatedFileCall;
 import gladewing.versions.ConfigKind;
 import gladewing.versions.Manifest;
 import gladewing.versions.PersistedState;
@@ -60,8 +61,8 @@
     }
 
     /**
-     * Opens the store in a folder. If the folder can't be used, nothing is saved, {@link #problem}
-     * says why, and the router serves without.
+     * Opens the store in a folder, again where that fails for a moment. If the folder can't be
+     * used, nothing is saved, {@link #problem} says why, and the router serves without.
      *
      * @param path null if nothing is to be saved
      */
@@ -73,7 +74,7 @@
         }
         StateDirectory folder = null;
         try {
-            folder = DiskDirectory.openForWriting(path);
+            folder = RepeatedFileCall.run(() -> DiskDirectory.openForWriting(path));
             stateStore.store = StateStore.open(folder);
             stateStore.problem =
                     stateStore.store.findings().isEmpty()
--- a/src/main/java/gladewing/files/FileReads.java
+++ b/src/main/java/gladewing/files/RepeatedFileCall.java
@@ -5,32 +5,36 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.nio.file.AccessDeniedException;
-import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
-import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Reads settings files, which the operator has put there: a read that fails for a moment is
- * repeated. Blocks, so it is never called on the loop's thread.
+ * Calls the file system, and repeats a call that fails for a moment. Blocks, so it is never used on
+ * the loop's thread.
  */
-public final class FileReads {
+public final class RepeatedFileCall {
     /** Half of the 4 s within which a new configuration has to be in use after SIGHUP. */
     private static final FailedCallPolicy POLICY = new FailedCallPolicy(Span.ofMillis(2000));
 
-    private FileReads() {}
+    private RepeatedFileCall() {}
+
+    /** A call that may fail. */
+    public interface Call<T> {
+        /** Makes the call once. */
+        T run() throws IOException;
+    }
 
     /**
-     * Returns what is in a file.
+     * Returns the result of a call.
      *
-     * @throws IOException at once if there is no such file or it must not be read, else after two
-     *     seconds
+     * @throws IOException at once if there is no such file or access is denied, else after two
+     *     seconds of failures
      */
-    public static byte[] readAllBytes(Path path) throws IOException {
+    public static <T> T run(Call<T> call) throws IOException {
         long startedAt = System.nanoTime();
         for (int failures = 1; ; failures++) {
             try {
-                return Files.readAllBytes(path);
+                return call.run();
             } catch (NoSuchFileException | AccessDeniedException permanent) {
                 throw permanent;
             } catch (IOException failure) {
--- a/src/main/java/gladewing/settings/IniFile.java
+++ b/src/main/java/gladewing/settings/IniFile.java
@@ -1,6 +1,6 @@
 package gladewing.settings;
 
-import gladewing.files.FileReads;
+import gladewing.files.RepeatedFileCall;
 import java.io.IOException;
 import java.io.StringReader;
 import java.nio.ByteBuffer;
@@ -50,10 +50,11 @@
                 file.fault("", "", size + " bytes, wanted: at most " + MAX_BYTES);
                 return file;
             }
+            byte[] content = RepeatedFileCall.run(() -> Files.readAllBytes(filePath));
             file.parse(
                     StandardCharsets.UTF_8
                             .newDecoder()
-                            .decode(ByteBuffer.wrap(FileReads.readAllBytes(filePath)))
+                            .decode(ByteBuffer.wrap(content))
                             .toString());
         } catch (CharacterCodingException e) {
             file.fault("", "", "not UTF-8");
--- a/src/test/java/gladewing/soak/SoakDiscovery.java
+++ b/src/test/java/gladewing/soak/SoakDiscovery.java
@@ -47,7 +47,7 @@
             }
             case "close" -> {
                 int port = Integer.parseInt(command[1]);
-                start(() -> close(port));
+                SoakThreads.start(() -> close(port));
             }
             case "reset" -> reset();
             default -> throw new IllegalArgumentException(command[0]);
@@ -66,7 +66,7 @@
                         new ServerSocket(0, 50, InetAddress.getLoopbackAddress()),
                         new ArrayList<>());
         agents.add(agent);
-        start(() -> accept(agent));
+        SoakThreads.start(() -> accept(agent));
         return agent.listener.getLocalPort();
     }
 
@@ -101,31 +101,13 @@
         }
     }
 
-    private interface IoTask {
-        void run() throws IOException;
-    }
-
-    private static void start(IoTask task) {
-        Thread thread =
-                new Thread(
-                        () -> {
-                            try {
-                                task.run();
-                            } catch (IOException closed) {
-                                // The connection or the agent has ended.
-                            }
-                        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void accept(Agent agent) throws IOException {
         while (true) {
             Socket socket = agent.listener.accept();
             synchronized (this) {
                 agent.sockets.add(socket);
             }
-            start(() -> serve(socket));
+            SoakThreads.start(() -> serve(socket));
         }
     }
 
--- a/src/test/java/gladewing/soak/SoakNode.java
+++ b/src/test/java/gladewing/soak/SoakNode.java
@@ -39,7 +39,7 @@
         ServerSocket listener =
                 new ServerSocket(Integer.parseInt(args[0]), 512, InetAddress.getLoopbackAddress());
         System.out.println("port " + listener.getLocalPort());
-        start(() -> node.accept(listener));
+        SoakThreads.start(() -> node.accept(listener));
         BufferedReader commands = new BufferedReader(new InputStreamReader(System.in));
         for (String line = commands.readLine(); line != null; line = commands.readLine()) {
             node.execute(line.split(" "));
@@ -47,25 +47,6 @@
         System.exit(0);
     }
 
-    /** A task that ends with the connection that it serves. */
-    private interface IoTask {
-        void run() throws IOException;
-    }
-
-    private static void start(IoTask task) {
-        Thread thread =
-                new Thread(
-                        () -> {
-                            try {
-                                task.run();
-                            } catch (IOException closed) {
-                                // The connection has ended.
-                            }
-                        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void execute(String[] command) throws IOException {
         switch (command[0]) {
             case "reset" -> reset();
@@ -91,7 +72,7 @@
             synchronized (this) {
                 sockets.add(socket);
             }
-            start(() -> serve(socket));
+            SoakThreads.start(() -> serve(socket));
         }
     }
 
