--- a/src/test/java/gladewing/soak/FaultSoakTest.java
+++ b/src/test/java/gladewing/soak/FaultSoakTest.java
@@ -54,6 +54,7 @@
             Path runFolder = Files.createDirectories(folder.resolve("seed-" + seed));
             List<String> violations = new SoakRun(seed, runFolder).run();
             System.out.println("soak seed " + seed + ": " + violations.size() + " violations");
+            violations.stream().limit(MAX_SHOWN).forEach(System.out::println);
             return violations;
         };
     }
--- a/src/test/java/gladewing/soak/SoakFleet.java
+++ b/src/test/java/gladewing/soak/SoakFleet.java
@@ -15,6 +15,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Routers, data nodes and discovery of one run, each a process of its own. */
 final class SoakFleet implements AutoCloseable {
@@ -24,6 +25,12 @@
     /** For how long after SIGTERM the front still opens connections to a router. */
     private static final long FRONT_MILLIS = 300;
 
+    private static final int FIRST_PORT = 12_000;
+
+    /** Each test process has a range of its own. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(FIRST_PORT + (int) (ProcessHandle.current().pid() % 32) * 500);
+
     private static final long READY_MILLIS = 30_000;
     private static final int AGENTS_PER_ROUTER = 6;
 
@@ -46,9 +53,7 @@
 
         Router(int index) throws Exception {
             this.index = index;
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                port = free.getLocalPort();
-            }
+            port = freePort();
             faults = new SyscallFaults(folder.resolve("faults-" + index), random.nextInt());
             log = folder.resolve("router-" + index + ".log");
             config = folder.resolve("config-" + index + ".json");
@@ -260,6 +265,22 @@
         }
     }
 
+    /**
+     * A port that no connection gets by itself: a router listens on it anew after a restart, and
+     * runs beside this one must not take it meanwhile.
+     */
+    private static int freePort() {
+        while (true) {
+            int candidate = NEXT_PORT.getAndIncrement();
+            try (ServerSocket free =
+                    new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
+                return candidate;
+            } catch (IOException taken) {
+                // The next one may be free.
+            }
+        }
+    }
+
     private String list() {
         return "[" + String.join(",", listed.stream().map(Node::entry).toList()) + "]";
     }
