--- a/src/test/java/gladewing/soak/SoakFleet.java
+++ b/src/test/java/gladewing/soak/SoakFleet.java
@@ -274,7 +274,7 @@
             int candidate = NEXT_PORT.getAndIncrement();
             try (ServerSocket free =
                     new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
-                return candidate;
+                return free.getLocalPort();
             } catch (IOException taken) {
                 // The next one may be free.
             }
