--- a/src/test/java/gladewing/serve/SyscallFaultTest.java
+++ b/src/test/java/gladewing/serve/SyscallFaultTest.java
@@ -442,4 +442,25 @@
         assertTrue(discovery.awaitWatch(revision, HANGUP_MILLIS), "discovery is no longer asked");
         assertTrue(log.stream().noneMatch(line -> line.contains("NoClassDef")), log.toString());
     }
+
+    /**
+     * A client leaves while it can't be accepted, and its end can't be read at first when its
+     * request is. Guards against parts that are sent for it in between.
+     */
+    @Test
+    void sendsNothingForALateRequestWhoseEndCannotBeRead() throws Exception {
+        faults = new SyscallFaults(folder.resolve("faults"), 1);
+        environment.putAll(faults.environment());
+        startWithList();
+        faults.setPort(port);
+        faults.fail(SyscallFaults.Call.ACCEPT, SyscallFaults.Error.EMFILE, SyscallFaults.ALWAYS);
+        new Client().sendMultiget("report", "r1", 0).close();
+        Thread.sleep(FAULT_MILLIS);
+        faults.fail(SyscallFaults.Call.READ, SyscallFaults.Error.EINTR, SyscallFaults.EVERY_SECOND);
+        faults.fail(SyscallFaults.Call.ACCEPT, SyscallFaults.Error.EMFILE, 0);
+        Thread.sleep(FAULT_MILLIS);
+        faults.clear();
+        assertTrue(faults.injected(SyscallFaults.Call.READ) > 0, "no read failed");
+        assertTrue(nodeA.hasNoFrames(), () -> "sent after the client had left: " + nodeA.frames);
+    }
 }
--- a/src/test/java/gladewing/serve/SyscallFaults.java
+++ b/src/test/java/gladewing/serve/SyscallFaults.java
@@ -68,6 +68,9 @@
     private static final int UNLIMITED = -1;
     public static final int ALWAYS = 1000;
 
+    /** In place of a number of a thousand: each second call fails, the first one does not. */
+    public static final int EVERY_SECOND = -1;
+
     private static Path library;
 
     private final Path controlFile;
--- a/src/test/native/syscall_faults.c
+++ b/src/test/native/syscall_faults.c
@@ -4,7 +4,7 @@
  * The file named by SYSCALL_FAULTS is mapped and read at each call. It begins with a header of two
  * ints (seed, port); then each kind of call, in the order of enum call, has four ints:
  *   error      the errno to fail with; SHORT_WRITE to hand only the first byte of a write on
- *   permille   how many of a thousand calls fail; 0 for none
+ *   permille   how many of a thousand calls fail; 0 for none, EVERY_SECOND for each second one
  *   remaining  how many more calls may fail; negative for no limit
  *   injected   how many calls have failed, counted by the shim
  * With a port other than 0, reads and writes fail only on sockets with that local or remote port.
@@ -45,7 +45,7 @@
     CALLS
 };
 
-enum { SHORT_WRITE = -1, FILE_BYTES = 4096 };
+enum { SHORT_WRITE = -1, EVERY_SECOND = -1, FILE_BYTES = 4096 };
 
 struct fault {
     int error;
@@ -63,6 +63,9 @@
 static volatile struct control *control;
 static unsigned random_state;
 
+/* How many calls have been made that fail each second time. */
+static unsigned calls;
+
 #define REAL(name) ((__typeof__(&name)) real(#name))
 
 static void *real(const char *name) {
@@ -89,8 +92,15 @@
         return 0;
     }
     volatile struct fault *fault = &control->faults[call];
-    if (fault->permille == 0 || fault->remaining == 0
-            || rand_r(&random_state) % 1000 >= fault->permille) {
+    if (fault->permille == 0 || fault->remaining == 0) {
+        return 0;
+    }
+    if (fault->permille == EVERY_SECOND) {
+        calls++;
+        if (calls % 2 != 0) {
+            return 0;
+        }
+    } else if (rand_r(&random_state) % 1000 >= fault->permille) {
         return 0;
     }
     if (fault->remaining > 0) {
