Begin no request whose connection can't be read to its end in the same pass

The loop had stood in a wait that was interrupted again and again (EINTR) for 320 ms, which it can't measure, so the request counted as having waited 7 ms; the read that got it worked, the next one failed. What a request has waited is no measure, then: a multiget that began in this pass, of which nothing is sent yet, is given up as soon as a read after its request fails; one that began earlier has been read to its end since.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -49,8 +49,8 @@
     /** The multiget that is being served, or null. */
     private ClientMultiget openMultiget;
 
-    /** How long the request of the open multiget may have waited to be read. */
-    private Span openWaited = Span.ZERO;
+    /** The time of the pass in which the open multiget began; its parts are sent at the end. */
+    private Time openedAt;
 
     /** What handles the connection after an upgrade; null while it speaks HTTP. */
     private UpgradedConnection upgraded;
@@ -175,7 +175,7 @@
         // the end of the one before it.
         Span waited = server.loop.enterPass().since(arrivedAt);
         Span timeLeft = server.limitToDeadline(reader.timeLeft().minus(waited));
-        openWaited = waited;
+        openedAt = server.loop.enterPass();
         RoutingDecision decision = server.route(timeLeft);
         if (decision != null && decision.isDismissed()) {
             server.releaseId(reader.id());
@@ -221,12 +221,12 @@
             abandonMultiget();
         } else if (event == ReadEvent.FAILED && openMultiget != null) {
             ClientMultiget unknown = openMultiget;
-            Span delay = LifecycleRules.MAX_READ_FAILURE.minus(openWaited);
-            if (delay.longerThan(Span.ZERO)) {
-                server.loop.schedule(delay, () -> giveUpIfUnread(unknown));
-            } else {
+            if (server.loop.enterPass().equals(openedAt)) {
                 // Its client may have left long ago, and nothing has been sent for it yet.
                 giveUpIfUnread(unknown);
+            } else {
+                server.loop.schedule(
+                        LifecycleRules.MAX_READ_FAILURE, () -> giveUpIfUnread(unknown));
             }
         }
     }
