--- a/src/main/java/gladewing/serve/ClassPreloader.java
+++ b/src/main/java/gladewing/serve/ClassPreloader.java
@@ -54,6 +54,7 @@
     /** Parts of those packages that the router does not use. */
     private static final List<String> UNUSED =
             List.of(
+                    "gladewing/clients/RouteLookup",
                     "gladewing/serve/AttemptsReloader",
                     "gladewing/serve/ControlIntegration",
                     "gladewing/serve/RoutesReloader",
