Handle SIGHUP and SIGTERM before the router is ready

By reading, the handler and the shutdown hook were installed by the main thread after the router had begun to listen, and could be late on a busy machine; a JVM without them ends at once on either signal. They are installed before it listens now, and the hook is taken away again if it can't listen.

--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -100,31 +100,34 @@
             Executor configReader = WorkerThread.start("configuration");
             runtime.onDiscoveryFailure(
                     () -> configReader.execute(() -> rereadConfig(configPath, thread, runtime)));
+            // Before the router is ready: without a handler, either signal ends the process at
+            // once.
+            Signal.handle(
+                    new Signal("HUP"),
+                    hangup -> {
+                        reloadConfig(configPath, thread, runtime);
+                        reloadRoutesAndAttempts(config, thread, routesReloader, attemptsReloader);
+                    });
+            Thread ending =
+                    new Thread(
+                            () ->
+                                    shutDown(
+                                            thread,
+                                            runtime.shutdown(),
+                                            routesReloader,
+                                            attemptsReloader,
+                                            controlIntegration),
+                            "ending");
+            Runtime.getRuntime().addShutdownHook(ending);
             ChannelFuture listening = thread.submit(runtime::start).get();
             if (!listening.await().isSuccess()) {
+                Runtime.getRuntime().removeShutdownHook(ending);
                 throw new InvalidInputException(
                         "can't listen on "
                                 + config.listen()
                                 + ": "
                                 + listening.cause().getMessage());
             }
-            Signal.handle(
-                    new Signal("HUP"),
-                    hangup -> {
-                        reloadConfig(configPath, thread, runtime);
-                        reloadRoutesAndAttempts(config, thread, routesReloader, attemptsReloader);
-                    });
-            Runtime.getRuntime()
-                    .addShutdownHook(
-                            new Thread(
-                                    () ->
-                                            shutDown(
-                                                    thread,
-                                                    runtime.shutdown(),
-                                                    routesReloader,
-                                                    attemptsReloader,
-                                                    controlIntegration),
-                                    "ending"));
             group.terminationFuture().await();
             return 0;
         } catch (InvalidInputException invalid) {
