Give each fourth seed of the soak its crowd

None of 34 seeds had a crowd of idle connections: Java's Random gives neighbouring small seeds nearly the same first draw, and the crowd hung on that alone. Seeds that four divides have one now; the other draws of all seeds stay as they were.

--- a/src/test/java/gladewing/soak/SoakRun.java
+++ b/src/test/java/gladewing/soak/SoakRun.java
@@ -62,6 +62,7 @@
                     new Fault(SyscallFaults.Call.FILE_READ, SyscallFaults.Error.EIO),
                     new Fault(SyscallFaults.Call.FILE_WRITE, SyscallFaults.Error.ENOSPC));
 
+    private final long seed;
     private final Random random;
     private final Path folder;
     private final Queue<SoakRequest> requests = new ConcurrentLinkedQueue<>();
@@ -70,13 +71,15 @@
     private volatile boolean isLoaded = true;
 
     SoakRun(long seed, Path folder) {
+        this.seed = seed;
         this.random = new Random(seed);
         this.folder = folder;
     }
 
     /** Returns the violations. */
     List<String> run() throws Exception {
-        boolean hasCrowd = random.nextInt(4) == 0;
+        // The first draws of neighbouring seeds are alike, so the seed itself decides as well.
+        boolean hasCrowd = random.nextInt(4) == 0 || seed % 4 == 0;
         int routerCount = 3 + random.nextInt(3);
         int nodeCount = 6 + 2 * random.nextInt(4);
         ExecutorService threads = Executors.newCachedThreadPool();
