--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -316,10 +316,10 @@
         final String id;
         final int shard;
         final String list;
-        final String text;
+        final byte[] text;
         final double arrivedAt = now();
 
-        PartCall(NodeConnection connection, String id, int shard, String list, String text) {
+        PartCall(NodeConnection connection, String id, int shard, String list, byte[] text) {
             this.connection = connection;
             this.id = id;
             this.shard = shard;
@@ -505,7 +505,7 @@
                 String[] line =
                         new String(frame, at, end - at, StandardCharsets.UTF_8).split(" ");
                 int length = Integer.parseInt(line[3]);
-                String text = new String(frame, end + 1, length, StandardCharsets.UTF_8);
+                byte[] text = java.util.Arrays.copyOfRange(frame, end + 1, end + 1 + length);
                 at = end + 1 + length;
                 handler.part(
                         this,
