Bound what all connections of clients hold together, and let those that hold most give way

Cause: each connection has limits (8 KB of head, 64 KB of body, 144 KB of buffer, 2.4 s), and nothing counts them together. At 1,024 descriptors up to 720 connections are admitted, which may hold 100 MB with a heap of 80. The same holds for what is sent behind an open request (72 KB a connection), and for responses that a client does not read.

Change: a connection reports what its buffer, its unfinished message and its unwritten responses take (lifecycle.MemoryLimit). A request that arrives at once is the youngest, and a small one is under the equal share, so sound clients are not the ones to go. A closed connection gives its buffer back at once, also where something still refers to it.

--- a/src/main/java/gladewing/buffer/ConnectionBuffer.java
+++ b/src/main/java/gladewing/buffer/ConnectionBuffer.java
@@ -64,6 +64,18 @@
         return end - start;
     }
 
+    /** Returns how much memory the bytes and the room for further ones take, in bytes. */
+    public int capacity() {
+        return bytes.length;
+    }
+
+    /** Removes all bytes, and the memory for them. */
+    public void clear() {
+        start = 0;
+        end = 0;
+        bytes = new byte[0];
+    }
+
     /** Returns the byte at an index. */
     public byte byteAt(int index) {
         return bytes[start + index];
--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -4,6 +4,7 @@
 import gladewing.events.Event;
 import gladewing.http.MessageReader;
 import gladewing.lifecycle.LifecycleRules;
+import gladewing.lifecycle.MemoryHolder;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.routes.RoutingDecision;
@@ -25,7 +26,7 @@
  * One client's connection. It serves one request at a time: the next one is parsed only after the
  * response to the one before.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
 
     /** How long a connection that is closed for writing stays open for reading. */
@@ -60,8 +61,21 @@
     /** Whether nothing more is read or sent: the connection is closed, or will be soon. */
     private boolean isClosing;
 
+    /**
+     * Whether what the client sends is dropped until its open multiget is answered, and the
+     * connection is closed after that.
+     */
+    private boolean isDiscarding;
+
     private boolean continueSent;
     private ChannelFuture lastResponse;
+    private Time lastResponseAt;
+
+    /** Bytes of responses that the socket has not taken. */
+    private int unwrittenBytes;
+
+    /** What this connection is counted with in the memory of all connections of clients. */
+    private long countedBytes;
 
     /**
      * When the client began to owe a complete request: when the connection was opened, and after
@@ -103,7 +117,7 @@
         ByteBuf bytes = (ByteBuf) read;
         try {
             // Bytes that arrive while the connection is closing are discarded.
-            if (!isClosing && !received.append(bytes)) {
+            if (!isClosing && !isDiscarding && !received.append(bytes)) {
                 fail("more bytes at once than any request has");
             }
         } finally {
@@ -113,6 +127,7 @@
             upgraded.read(received);
         } else {
             processRequests();
+            server.limitMemory();
         }
     }
 
@@ -125,6 +140,11 @@
     }
 
     private void processRequests() {
+        startRequests();
+        countMemory();
+    }
+
+    private void startRequests() {
         // No more requests are processed while the client does not read its responses.
         while (server.rules.mayStart(openMultiget != null, isClosing, channel.isWritable())) {
             MessageReader.Progress progress = message.read(received);
@@ -286,14 +306,19 @@
         if (isClosing) {
             return;
         }
-        keepAlive &= !server.closesAfterResponse();
+        keepAlive &= !isDiscarding && !server.closesAfterResponse();
         isClosing = !keepAlive;
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         ByteBuf out = channel.alloc().buffer(256 + bytes.length);
         String head = Responses.head(status, headers, bytes.length, keepAlive);
         out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-        ChannelFuture written = channel.write(out.writeBytes(bytes));
+        out.writeBytes(bytes);
+        int length = out.readableBytes();
+        unwrittenBytes += length;
+        ChannelFuture written = channel.write(out);
+        written.addListener(done -> responseWritten(length));
         lastResponse = written;
+        lastResponseAt = server.loop.enterPass();
         server.loop.flushAfterPass(channel);
         if (isClosing) {
             written.addListener(done -> closeAfterLinger());
@@ -303,6 +328,61 @@
         }
     }
 
+    private void responseWritten(int length) {
+        unwrittenBytes -= length;
+        countMemory();
+    }
+
+    /** Updates what this connection is counted with; after an upgrade it counts elsewhere. */
+    private void countMemory() {
+        long bytes = upgraded != null ? 0 : heldBytes();
+        server.memory.adjust(bytes - countedBytes);
+        countedBytes = bytes;
+    }
+
+    private long heldBytes() {
+        return received.capacity() + message.heldBytes() + unwrittenBytes;
+    }
+
+    @Override
+    public long releasableBytes() {
+        if (!channel.isOpen()) {
+            return 0;
+        }
+        return received.capacity() + message.heldBytes() + (isBlocked() ? unwrittenBytes : 0);
+    }
+
+    @Override
+    public Time heldSince() {
+        return requestDueSince == null ? lastReadAt : requestDueSince;
+    }
+
+    /**
+     * Gives back the memory of what the client has sent, and of responses that it does not read. A
+     * request that is not complete is refused; what follows an open one is dropped.
+     */
+    void giveWay() {
+        server.events.record(Event.CLIENT_OVER_MEMORY, this, heldBytes());
+        received.clear();
+        message.startNextMessage();
+        if (openMultiget != null) {
+            isDiscarding = true;
+            channel.config().setAutoRead(true);
+        } else if (isBlocked()) {
+            close();
+        } else if (!isClosing) {
+            rejectAndClose(Responses.UNAVAILABLE);
+        }
+        countMemory();
+    }
+
+    /** Whether the client does not read its responses: one of an earlier pass is not written. */
+    private boolean isBlocked() {
+        return openMultiget == null
+                && isResponding()
+                && lastResponseAt.before(server.loop.enterPass());
+    }
+
     /**
      * Closes the sending side now and the rest after the linger time. Closing a socket that has
      * unread bytes would reset the connection, and the response could be lost.
@@ -400,6 +480,9 @@
             upgraded.connectionClosed();
         }
         abandonMultiget();
+        received.clear();
+        message.startNextMessage();
+        countMemory();
     }
 
     @Override
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -4,6 +4,7 @@
 import gladewing.events.RouterEvents;
 import gladewing.http.MessageReader;
 import gladewing.lifecycle.LifecycleRules;
+import gladewing.lifecycle.MemoryLimit;
 import gladewing.loop.Loop;
 import gladewing.router.RetryPolicy;
 import gladewing.router.Span;
@@ -44,6 +45,10 @@
     final RequestReader reader;
     final RouterEvents events;
     final LifecycleRules rules;
+
+    /** What the connections have received and not finished, and responses that are not read. */
+    final MemoryLimit memory;
+
     private final IntSupplier maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
@@ -83,14 +88,17 @@
     private boolean isFull;
 
     private boolean limitLogged;
+    private boolean memoryLimitLogged;
 
     /**
      * @param maxConnections how many connections there may be at present
+     * @param memory limit on what the connections hold
      */
     public HttpServer(
             Loop loop,
             ServedCatalog catalog,
             IntSupplier maxConnections,
+            MemoryLimit memory,
             MultigetListener listener,
             RouterEvents events,
             LifecycleRules rules) {
@@ -98,6 +106,7 @@
         this.events = events;
         this.rules = rules;
         this.maxConnections = maxConnections;
+        this.memory = memory;
         this.listener = listener;
         this.reader = new RequestReader(catalog);
     }
@@ -213,6 +222,23 @@
             connection.closeIfStalled(now);
         }
         new ArrayList<>(upgraded).forEach(ClientConnection::pollIfUnwatched);
+        limitMemory();
+    }
+
+    /** Lets connections give way while they hold more memory together than they may. */
+    void limitMemory() {
+        ClientConnection first = memory.firstToGiveWay(connections);
+        if (first != null && !memoryLimitLogged) {
+            LOG.warning(
+                    "connections to clients hold more than "
+                            + memory.maxBytes()
+                            + " bytes; those that hold most have to give way");
+            memoryLimitLogged = true;
+        }
+        while (first != null) {
+            first.giveWay();
+            first = memory.firstToGiveWay(connections);
+        }
     }
 
     /** Sets how readiness checks are answered. */
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -14,6 +14,8 @@
     CLIENT_CONNECTED,
     CLIENT_CLOSED,
     CLIENT_EVICTED,
+    /** What a connection held was dropped, as all of them together held too much memory. */
+    CLIENT_OVER_MEMORY,
     CLIENT_CLOSED_WHEN_DRAINING,
     CLIENT_CLOSED_ON_ERROR,
 
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -107,6 +107,7 @@
         startLine = null;
         headers.clear();
         headBytes = 0;
+        searched = 0;
         body = EMPTY;
         chunks = EMPTY;
         chunkBytes = 0;
--- /dev/null
+++ b/src/main/java/gladewing/lifecycle/MemoryLimit.java
@@ -0,0 +1,71 @@
+package gladewing.lifecycle;
+
+import java.util.Collection;
+
+/**
+ * A limit on the memory that many holders take together, and the decision who gets none or gives
+ * way when it is reached. Each holder is left an equal share of the limit, so that those that hold
+ * little are not turned away because of those that hold much.
+ */
+public final class MemoryLimit {
+    private final long maxBytes;
+    private long heldBytes;
+
+    /**
+     * @param maxBytes limit for all holders together
+     */
+    public MemoryLimit(long maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Counts a change of what one holder takes, in bytes; negative for what is given back. */
+    public void adjust(long deltaBytes) {
+        heldBytes += deltaBytes;
+    }
+
+    /** What all holders take together, in bytes. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
+    public long maxBytes() {
+        return maxBytes;
+    }
+
+    public boolean isExceeded() {
+        return heldBytes > maxBytes;
+    }
+
+    /**
+     * Whether a holder may take more. Where that can't be taken from it again, all holders together
+     * take at most twice the limit.
+     *
+     * @param ownBytes what the holder would take in all
+     * @param addedBytes what of that it does not take yet
+     * @param maxHolders the most holders that there may be
+     */
+    public boolean mayTake(long ownBytes, long addedBytes, int maxHolders) {
+        return heldBytes + addedBytes <= maxBytes || ownBytes <= maxBytes / maxHolders;
+    }
+
+    /**
+     * Returns the holder that gives way first: of those that could give back more than an equal
+     * share of the limit, the one that has held it longest. What arrives at once is kept for a
+     * moment only, so that is most likely one that stopped in the middle of something. Returns null
+     * if the limit is kept, or if nobody holds more than an equal share.
+     */
+    public <H extends MemoryHolder> H firstToGiveWay(Collection<H> holders) {
+        if (!isExceeded()) {
+            return null;
+        }
+        long equalShare = maxBytes / Math.max(1, holders.size());
+        H first = null;
+        for (H holder : holders) {
+            if (holder.releasableBytes() > equalShare
+                    && (first == null || holder.heldSince().before(first.heldSince()))) {
+                first = holder;
+            }
+        }
+        return first;
+    }
+}
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -17,6 +17,7 @@
 import gladewing.events.Event;
 import gladewing.events.RouterEvents;
 import gladewing.lifecycle.LifecycleRules;
+import gladewing.lifecycle.MemoryLimit;
 import gladewing.loop.Loop;
 import gladewing.nodes.Connector;
 import gladewing.nodes.NodeClient;
@@ -136,7 +137,16 @@
                         rules);
         ServedCatalog catalog =
                 new ServedCatalog(config.products(), config.tenants(), config.shards());
-        httpServer = new HttpServer(loop, catalog, this::maxClientConnections, this, events, rules);
+        MemoryBudget memory = MemoryBudget.ofThisProcess();
+        httpServer =
+                new HttpServer(
+                        loop,
+                        catalog,
+                        this::maxClientConnections,
+                        new MemoryLimit(memory.clientConnections()),
+                        this,
+                        events,
+                        rules);
         discoveryWatcher =
                 new DiscoveryWatcher(
                         loop,
