Bound what open multigets hold together, and release it when they end

Seen with processes and a heap of 48 MB, on the text before: - 1,000 clients that send a text of 65 KB, wait until a data node has it and leave, beside a sound one every tenth time: the router answers nobody any more (ServeMemoryTest.multigetsOfClientsThatLeaveKeepNoText: no frame to the node in 30 s). Cause: a node may still answer a part that was withdrawn, so NodeConnection keeps the part until its time-out, and the part kept the multiget, its text, its client's connection and that one's buffer. Cause: OpenCap counts multigets and parts, and nothing counts bytes.

Change: what an accepted multiget holds is counted (serve.MultigetMemory). Where a sixth of the heap is taken, a multiget is refused with 503 before anything is sent for it, and a value ends as an error of its node; whoever stays under an equal share of the limit is served all the same, so small requests are not the ones to go. At its end a multiget drops its text and its values.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -205,6 +205,11 @@
                     "");
             return;
         }
+        if (!server.listener.mayAccept(reader.textSize())) {
+            server.releaseId(reader.id());
+            respond(Responses.UNAVAILABLE, "", "");
+            return;
+        }
         int product =
                 decision == null ? reader.product() : decision.servedProduct(reader.product());
         if (server.isProductClosed(product)) {
--- a/src/main/java/gladewing/clients/MultigetListener.java
+++ b/src/main/java/gladewing/clients/MultigetListener.java
@@ -5,6 +5,9 @@
 
 /** Receives the multigets of clients. All calls come on the event loop's thread. */
 public interface MultigetListener {
+    /** Whether there is memory for a multiget whose payload has this size, in bytes. */
+    boolean mayAccept(int payloadBytes);
+
     /** A valid multiget has arrived, and no route has turned it away. */
     void multigetReceived(AcceptedMultiget multiget);
 
--- a/src/main/java/gladewing/decisions/AcceptedMultiget.java
+++ b/src/main/java/gladewing/decisions/AcceptedMultiget.java
@@ -32,13 +32,16 @@
 
     public final List<Part> parts;
 
-    /** Bytes that each transmission of a part carries unchanged. */
-    public final byte[] payload;
-
     /** How its parts are retried; null for the router's default. */
     public final RetryPolicy retryPolicy;
 
-    private final String[] values;
+    /** Null once the multiget has been released. */
+    private byte[] payload;
+
+    /** By part; null once the multiget has been released. */
+    private String[] values;
+
+    private long heldBytes;
     int ref;
     Multiget handle;
     boolean hasEnded;
@@ -75,20 +78,50 @@
         this.parts = parts;
         this.payload = payload;
         this.values = new String[parts.size()];
+        this.heldBytes = payload.length;
+    }
+
+    /**
+     * Bytes that each transmission of a part carries unchanged. Not to be called after {@link
+     * #release}, when nothing is sent any more.
+     */
+    public final byte[] payload() {
+        return payload;
     }
 
     /** The value of a part as its data node returned it, or null while it is missing. */
     public final String value(int part) {
-        return values[part];
+        return values == null ? null : values[part];
     }
 
     /** Stores the value of a part unless it has one or the multiget has ended. */
     final void recordValue(int part, String value) {
         if (!hasEnded && values[part] == null) {
             values[part] = value;
+            heldBytes += valueBytes(value);
         }
     }
 
+    /** The most memory that a value takes, in bytes. */
+    public static long valueBytes(String value) {
+        return (long) Character.BYTES * value.length();
+    }
+
+    /** How much memory the payload and the values take, in bytes. */
+    public final long heldBytes() {
+        return heldBytes;
+    }
+
+    /**
+     * Drops the payload and the values. Called after the end, as transmissions that nodes may still
+     * answer refer to the multiget for longer.
+     */
+    public final void release() {
+        payload = null;
+        values = null;
+        heldBytes = 0;
+    }
+
     /** Whether the final answer was given or the client has left. */
     public final boolean hasEnded() {
         return hasEnded;
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -8,6 +8,10 @@
     REQUEST_ANSWERED,
     /** A request was turned down before it reached the module. */
     REQUEST_REFUSED,
+    /** A multiget was refused, as the open ones together held too much memory. */
+    REQUEST_OVER_MEMORY,
+    /** The value of a part was dropped, as the open multigets together held too much memory. */
+    VALUE_OVER_MEMORY,
     /** The client's connection ended while its multiget was open. */
     REQUEST_ABANDONED,
 
--- a/src/main/java/gladewing/nodes/InFlightTransmission.java
+++ b/src/main/java/gladewing/nodes/InFlightTransmission.java
@@ -56,6 +56,6 @@
                 id,
                 transmission.multiget.parts.get(transmission.part).shard(),
                 Math.max(1, (long) millisLeft),
-                transmission.multiget.payload);
+                transmission.multiget.payload());
     }
 }
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -74,6 +74,7 @@
     private final DiscoveryWatcher discoveryWatcher;
     private final GracefulShutdown shutdown;
     private final DescriptorBudget descriptors;
+    private final MultigetMemory multigetMemory;
     private final RouterEvents events = new RouterEvents();
     private final LifecycleRules rules = new LifecycleRules(this::ruleViolated);
 
@@ -138,6 +139,8 @@
         ServedCatalog catalog =
                 new ServedCatalog(config.products(), config.tenants(), config.shards());
         MemoryBudget memory = MemoryBudget.ofThisProcess();
+        multigetMemory =
+                new MultigetMemory(new MemoryLimit(memory.multigets()), this::maxClientConnections);
         httpServer =
                 new HttpServer(
                         loop,
@@ -346,8 +349,18 @@
         carryOut(decisions.endTurn());
     }
 
+    @Override
+    public boolean mayAccept(int payloadBytes) {
+        boolean mayAccept = multigetMemory.mayAccept(payloadBytes);
+        if (!mayAccept) {
+            events.record(Event.REQUEST_OVER_MEMORY, payloadBytes, "");
+        }
+        return mayAccept;
+    }
+
     @Override
     public void multigetReceived(AcceptedMultiget multiget) {
+        multigetMemory.accepted(multiget);
         carryOut(decisions.accept(multiget));
     }
 
@@ -359,12 +372,23 @@
     @Override
     public void clientDisconnected(AcceptedMultiget multiget) {
         carryOut(decisions.clientLeft(multiget));
+        multigetMemory.ended(multiget);
     }
 
     @Override
     public void transmissionEnded(
             Transmission transmission, CallResult result, Span took, String value, NodeLoad load) {
-        carryOut(decisions.transmissionEnded(transmission, result, took, value, load));
+        AcceptedMultiget multiget = transmission.multiget;
+        if (value != null && !multigetMemory.mayStore(multiget, value)) {
+            // The part has run, but its value can't be kept.
+            events.record(Event.VALUE_OVER_MEMORY, multiget.id, value.length());
+            carryOut(decisions.transmissionEnded(transmission, CallResult.ERROR, took, null, load));
+            return;
+        }
+        long bytesBefore = multiget.heldBytes();
+        Actions actions = decisions.transmissionEnded(transmission, result, took, value, load);
+        multigetMemory.changed(multiget, bytesBefore);
+        carryOut(actions);
     }
 
     @Override
@@ -480,6 +504,11 @@
     }
 
     private void deliver(Actions.FinalAnswer finalAnswer) {
+        answer(finalAnswer);
+        multigetMemory.ended(finalAnswer.multiget());
+    }
+
+    private void answer(Actions.FinalAnswer finalAnswer) {
         switch (finalAnswer.kind()) {
             case WHOLE, PARTIAL -> {
                 finished++;
--- a/src/test/java/gladewing/clients/RequestReaderTest.java
+++ b/src/test/java/gladewing/clients/RequestReaderTest.java
@@ -53,7 +53,7 @@
                         + (multiget.isClientRetry ? " again " : " ")
                         + multiget.parts
                         + " "
-                        + new String(multiget.payload, StandardCharsets.UTF_8));
+                        + new String(multiget.payload(), StandardCharsets.UTF_8));
         // The time that a request has waited to be read is subtracted, but some is always left.
         assertEquals(
                 400,
--- /dev/null
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -0,0 +1,177 @@
+package gladewing.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** What others send must not use up the heap of a running router, whoever of them sends it. */
+public class ServeMemoryTest extends ServeTestHarness {
+    private static final int DESCRIPTORS = 1024;
+
+    /** Within this time a client that sends no complete request is owed an error or a close. */
+    private static final int BAD_CLIENT_ANSWER_MILLIS = 3000;
+
+    /** The router's heap has 48 MB; 600 unfinished requests of 73 KB are 44 MB. */
+    private static final int UNFINISHED_REQUESTS = 600;
+
+    private static final int OPEN_MULTIGETS = 700;
+
+    /** Enough for all of them, so that the module does not dismiss any for their number. */
+    private static final int MAX_OPEN = 10_000;
+
+    private static final String LARGE_TEXT = "x".repeat(65_000);
+
+    /**
+     * Guards against the end or a stand still of the router when many clients stop in the middle of
+     * a large request and stay: nothing bounded what all connections hold together.
+     */
+    @Test
+    void unfinishedRequestsOfManyClientsDoNotUseUpTheHeap() throws Exception {
+        startWithList(DESCRIPTORS);
+        byte[] unfinished = unfinishedRequest();
+        for (int round = 0; round < 2; round++) {
+            List<Client> badClients = new ArrayList<>();
+            for (int i = 0; i < UNFINISHED_REQUESTS; i++) {
+                Client bad = new Client();
+                bad.socket.getOutputStream().write(unfinished);
+                bad.socket.setSoTimeout(BAD_CLIENT_ANSWER_MILLIS);
+                badClients.add(bad);
+            }
+            assertServes("r" + round);
+            for (Client bad : badClients) {
+                String end = endOf(bad);
+                assertTrue(end.matches("(4|5).. close|end"), end);
+                bad.close();
+            }
+        }
+        assertRuns();
+    }
+
+    /**
+     * Guards against parts that keep the texts of clients that have left: a data node may still
+     * answer a part that was withdrawn, so the part was kept, and with it all that its client had
+     * asked.
+     */
+    @Test
+    void multigetsOfClientsThatLeaveKeepNoText() throws Exception {
+        startWithList(DESCRIPTORS);
+        for (int i = 0; i < 1000; i++) {
+            Client leaving = new Client();
+            sendMultiget(leaving, "l" + i, 60_000, LARGE_TEXT, 0);
+            awaitCall("l" + i + ".0");
+            leaving.close();
+            if (i % 10 == 0) {
+                // Keeps the connections to the node in use.
+                assertServes("s" + i);
+            }
+        }
+        assertRuns();
+    }
+
+    /**
+     * Guards against texts that use up the heap: nothing bounded what all open multigets ask
+     * together, and each part was given a copy.
+     */
+    @Test
+    void textsOfManyOpenMultigetsDoNotUseUpTheHeap() throws Exception {
+        maxOpen = MAX_OPEN;
+        startWithList(DESCRIPTORS);
+        List<Client> clients = connect(OPEN_MULTIGETS);
+        signal("STOP");
+        for (int i = 0; i < OPEN_MULTIGETS; i++) {
+            sendMultiget(clients.get(i), "t" + i, 3000, LARGE_TEXT, 0, 1, 2, 3);
+        }
+        signal("CONT");
+        for (Client client : clients) {
+            assertTrue(client.readResponse().matches("(429|503|504).*"));
+            client.close();
+        }
+        assertServes("r1");
+        assertRuns();
+    }
+
+    /** Sends a signal to the router. */
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    private List<Client> connect(int count) throws IOException {
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(new Client());
+        }
+        return clients;
+    }
+
+    private static void sendMultiget(
+            Client client, String id, int timeoutMillis, String text, int... shards)
+            throws IOException {
+        String parts =
+                Arrays.stream(shards)
+                        .mapToObj(
+                                s -> "{\"shard\":" + s + ",\"weight\":" + 1.0 / shards.length + "}")
+                        .collect(Collectors.joining(","));
+        String body = "{\"shards\":[" + parts + "],\"q\":\"" + text + "\"}";
+        client.send(
+                "POST /report HTTP/1.1\r\nX-Request-ID: "
+                        + id
+                        + "\r\nX-Timeout-Ms: "
+                        + timeoutMillis
+                        + "\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body);
+    }
+
+    /** Waits until node A gets a call with this part. */
+    private FakeDataNode.Frame awaitCall(String partId) throws Exception {
+        FakeDataNode.Frame frame = nodeA.nextFrame();
+        while (frame.letter != 'Q' || !frame.text.startsWith(partId + " ")) {
+            frame = nodeA.nextFrame();
+        }
+        return frame;
+    }
+
+    /** A head of 8 KB of short lines, and most of a chunk of 64 KB. */
+    private static byte[] unfinishedRequest() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.writeBytes("POST /sheet HTTP/1.1\r\nTransfer-Encoding:chunked\r\n".getBytes());
+        bytes.writeBytes("a:b\n".repeat(2020).getBytes());
+        bytes.writeBytes("\nFFFF\n".getBytes());
+        bytes.writeBytes(new byte[65_000]);
+        return bytes.toByteArray();
+    }
+
+    /** The response, or "end" where the connection ends without one. */
+    private static String endOf(Client client) {
+        try {
+            return client.readResponse();
+        } catch (IOException reset) {
+            return "SocketTimeoutException".equals(reset.getClass().getSimpleName())
+                    ? "nothing"
+                    : "end";
+        }
+    }
+
+    /** A client that asks now is served. */
+    private void assertServes(String id) throws Exception {
+        Client sound = new Client().sendMultiget("report", id, 0);
+        awaitCall(id + ".0").answer(id + ".0", "ok", "zero");
+        assertEquals(
+                "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"zero\"}]}",
+                sound.readResponse());
+        sound.close();
+    }
+
+    private void assertRuns() {
+        assertTrue(process.isAlive(), log.toString());
+        assertTrue(log.stream().noneMatch(line -> line.contains("OutOfMemory")), log.toString());
+    }
+}
--- a/src/test/java/gladewing/serve/ServeTestHarness.java
+++ b/src/test/java/gladewing/serve/ServeTestHarness.java
@@ -438,6 +438,9 @@
     /** LateWorth in the configuration: the revenue of an answer after the quoted time. */
     String lateWorth = "0.0";
 
+    /** OpenCap in the configuration: how many multigets and parts may be open. */
+    int maxOpen = 180;
+
     static Process startProcess(Path config, Path folder) throws IOException {
         return startProcess(config, folder, List.of(), List.of());
     }
@@ -496,6 +499,7 @@
                             .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort())
                             .replace("\"KNOWN\"", knownNodes)
                             .replace("\"LateWorth\":0.0", "\"LateWorth\":" + lateWorth)
+                            .replace("\"OpenCap\":180", "\"OpenCap\":" + maxOpen)
                             .replace("\"sockets\":256", "\"sockets\":" + descriptors));
             process = startProcess(config, folder, jvmOptions, serveArguments, environment);
             Process started = process;
