Bound what connections to data nodes hold together, and share large texts between frames

Found by reading, each then shown by a test without sockets or with a fake node; none was seen to end a process. - Each connection to a data node may hold 130 KB of a frame that does not end, for up to the connect time-out; nothing counted them together. Over a sixth of the heap those with more than an equal share give way now, longest held first: closed, their parts end as broken (NodeClientTest.incompleteAnswersGiveWayWhenTheyHoldTooMuchMemory). - A call copied the text for each of its parts. A text over 1 KB is shared now (NodeFramesTest.largeTextsAreSharedBy...). - A withdrawn part was remembered until its time limit, which a client may set to ten minutes and leave at once: a table that grows with clients. It is 10 s at most now (withdrawnPartsAreForgottenBeforeALongTimeLimit); a node's answer after that closes its connection, as any answer to a part that is not in flight.

--- a/src/main/java/gladewing/frames/NodeFrames.java
+++ b/src/main/java/gladewing/frames/NodeFrames.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -38,25 +40,43 @@
      */
     public record CallPart(String id, int shard, long timeLimitMillis, byte[] text) {}
 
+    /**
+     * Texts up to this size are copied into their frame. A larger one is shared by the frames of
+     * all its parts, as one text may be asked of every shard.
+     */
+    private static final int MAX_COPIED_TEXT_BYTES = 1024;
+
     private NodeFrames() {}
 
     /** Encodes a call. */
     public static ByteBuf call(ByteBufAllocator allocator, List<CallPart> parts) {
-        ByteBuf frame = begin(allocator, CALL);
+        CompositeByteBuf withTexts = null;
+        ByteBuf lines = begin(allocator, CALL);
         for (CallPart part : parts) {
-            frame.writeCharSequence(
-                    part.id
-                            + " "
-                            + part.shard
-                            + " d="
-                            + part.timeLimitMillis
-                            + " "
-                            + part.text.length
-                            + "\n",
-                    StandardCharsets.UTF_8);
-            frame.writeBytes(part.text);
+            lines.writeCharSequence(line(part), StandardCharsets.UTF_8);
+            if (part.text.length <= MAX_COPIED_TEXT_BYTES) {
+                lines.writeBytes(part.text);
+            } else {
+                if (withTexts == null) {
+                    withTexts = allocator.compositeBuffer(2 * parts.size() + 1);
+                }
+                withTexts.addComponent(true, lines);
+                withTexts.addComponent(true, Unpooled.wrappedBuffer(part.text));
+                lines = allocator.buffer();
+            }
         }
-        return end(frame);
+        return end(withTexts == null ? lines : withTexts.addComponent(true, lines));
+    }
+
+    private static String line(CallPart part) {
+        return part.id
+                + " "
+                + part.shard
+                + " d="
+                + part.timeLimitMillis
+                + " "
+                + part.text.length
+                + "\n";
     }
 
     /** Encodes the withdrawal of a part. */
--- a/src/main/java/gladewing/nodes/InFlightTransmission.java
+++ b/src/main/java/gladewing/nodes/InFlightTransmission.java
@@ -27,6 +27,9 @@
     /** Whether its end was reported; what still arrives for it is dropped. */
     boolean isEnded;
 
+    /** When its end was reported; null before. */
+    Time endedAt;
+
     InFlightTransmission(Transmission transmission, Time sentAt) {
         this.transmission = transmission;
         this.id =
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -8,6 +8,7 @@
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
 import gladewing.lifecycle.LifecycleRules;
+import gladewing.lifecycle.MemoryLimit;
 import gladewing.loop.Loop;
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
@@ -38,6 +39,12 @@
 
     private static final Span POLL_INTERVAL = Span.ofMillis(200);
 
+    /**
+     * How long after its withdrawal an answer to a part is expected at most, even if the part's
+     * time limit is longer. Clients may set that to minutes, and leave at once.
+     */
+    private static final Span MAX_ANSWER_DELAY = Span.ofMillis(10_000);
+
     private record DeferredCall(String node, List<InFlightTransmission> parts) {}
 
     final Loop loop;
@@ -45,6 +52,10 @@
     final NodeClientOptions options;
     final RouterEvents events;
     final LifecycleRules rules;
+
+    /** What the connections have received of frames that are not complete. */
+    final MemoryLimit memory;
+
     private final NodeEventListener listener;
     private final Map<String, ConnectionPool> pools = new LinkedHashMap<>();
     private final Map<Transmission, InFlightTransmission> inFlight = new HashMap<>();
@@ -58,10 +69,14 @@
     private int connectionCount;
     private boolean isLimitLogged;
 
+    /**
+     * @param memory limit on what the connections hold
+     */
     public NodeClient(
             Loop loop,
             Connector connector,
             NodeClientOptions options,
+            MemoryLimit memory,
             NodeEventListener listener,
             RouterEvents events,
             LifecycleRules rules) {
@@ -70,6 +85,7 @@
         this.rules = rules;
         this.connector = connector;
         this.options = options;
+        this.memory = memory;
         this.listener = listener;
         loop.schedule(IDLE_CHECK_INTERVAL, this::closeIdle);
         loop.schedule(POLL_INTERVAL, this::pollUnwatched);
@@ -322,7 +338,7 @@
         Span maxIdle = new Span(options.idleTimeout().micros() - IDLE_CHECK_INTERVAL.micros() * 2);
         for (ConnectionPool pool : new ArrayList<>(pools.values())) {
             for (NodeConnection c : new ArrayList<>(pool.connections)) {
-                c.forgetWithdrawn(now.minus(IDLE_CHECK_INTERVAL));
+                c.forgetWithdrawn(now.minus(IDLE_CHECK_INTERVAL), now.minus(MAX_ANSWER_DELAY));
                 boolean isRetired = !c.incarnation.equals(pool.incarnation);
                 if (c.isIdle()
                         && (isRetired
@@ -341,6 +357,28 @@
         }
     }
 
+    /** Lets connections give way while they hold more memory together than they may. */
+    void limitMemory() {
+        if (!memory.isExceeded()) {
+            return;
+        }
+        List<NodeConnection> connections =
+                pools.values().stream().flatMap(pool -> pool.connections.stream()).toList();
+        for (NodeConnection first = memory.firstToGiveWay(connections);
+                first != null;
+                first = memory.firstToGiveWay(connections)) {
+            first.giveWay();
+        }
+    }
+
+    /** Returns how many withdrawn transmissions are remembered. */
+    int withdrawnCount() {
+        return pools.values().stream()
+                .flatMap(pool -> pool.connections.stream())
+                .mapToInt(NodeConnection::withdrawnCount)
+                .sum();
+    }
+
     /** Returns how many connections are open or being opened. */
     public int connectionCount() {
         return connectionCount;
@@ -402,6 +440,7 @@
         }
         Time now = loop.enterPass();
         part.isEnded = true;
+        part.endedAt = now;
         part.timeoutTimer.cancel();
         inFlight.remove(part.transmission);
         events.record(Event.TRANSMISSION_ENDED, part.id, result);
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -6,6 +6,7 @@
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
 import gladewing.lifecycle.LifecycleRules;
+import gladewing.lifecycle.MemoryHolder;
 import gladewing.loop.Loop;
 import gladewing.loop.Timer;
 import gladewing.router.Span;
@@ -31,7 +32,7 @@
  * One connection to a data node: tracks the transmissions and probes in flight on it, holds back
  * writes until it is up, and handles the frames that the node sends.
  */
-final class NodeConnection extends ChannelInboundHandlerAdapter {
+final class NodeConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
     private static final Logger LOG = Logger.getLogger(NodeConnection.class.getName());
 
     private final NodeClient client;
@@ -74,6 +75,12 @@
      */
     private Span earlierSilence = Span.ZERO;
 
+    /** What this connection is counted with in the memory of all connections to data nodes. */
+    private int countedBytes;
+
+    /** Since when part of a frame has been received; null if there is none. */
+    private Time incompleteSince;
+
     /** Closes the connection if the rest of a frame that has begun to arrive does not follow. */
     private Timer incompleteFrameTimer;
 
@@ -260,18 +267,49 @@
     }
 
     /**
-     * Forgets withdrawn transmissions whose multiget has its final answer and whose time-out lies
-     * before the given time: the part is not sent again, and late answers have arrived by then.
+     * Forgets withdrawn transmissions whose multiget has its final answer, and whose time-out or
+     * withdrawal lies before the given times: the part is not sent again, and late answers have
+     * arrived by then.
      */
-    void forgetWithdrawn(Time timedOutBefore) {
+    void forgetWithdrawn(Time timedOutBefore, Time withdrawnBefore) {
         withdrawn
                 .values()
                 .removeIf(
                         part ->
                                 part.transmission.multiget.hasEnded()
-                                        && part.sentAt
-                                                .plus(part.transmission.timeout)
-                                                .before(timedOutBefore));
+                                        && (part.sentAt
+                                                        .plus(part.transmission.timeout)
+                                                        .before(timedOutBefore)
+                                                || part.endedAt.before(withdrawnBefore)));
+    }
+
+    /** How many withdrawn transmissions are remembered. */
+    int withdrawnCount() {
+        return withdrawn.size();
+    }
+
+    private void countMemory() {
+        client.memory.adjust(received.capacity() - countedBytes);
+        countedBytes = received.capacity();
+        incompleteSince =
+                received.size() == 0
+                        ? null
+                        : incompleteSince == null ? lastUsedAt : incompleteSince;
+    }
+
+    @Override
+    public long releasableBytes() {
+        return isClosed ? 0 : received.capacity();
+    }
+
+    @Override
+    public Time heldSince() {
+        return incompleteSince == null ? lastUsedAt : incompleteSince;
+    }
+
+    /** Closes the connection, which gives back what it has received of an incomplete frame. */
+    void giveWay() {
+        protocolError("connections to data nodes hold too much memory");
     }
 
     void close() {
@@ -291,7 +329,12 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         lastUsedAt = client.loop.enterPass();
-        ByteBuf bytes = (ByteBuf) message;
+        readFrames((ByteBuf) message);
+        countMemory();
+        client.limitMemory();
+    }
+
+    private void readFrames(ByteBuf bytes) {
         try {
             if (isClosed || !received.append(bytes)) {
                 protocolError("receive buffer overflow");
@@ -333,6 +376,7 @@
     /** Handles the frame that was read; returns what is wrong with it, or null. */
     private String handleFrame(char type) {
         stopIncompleteFrameTimer();
+        incompleteSince = null;
         String error = dispatchFrame(type);
         frameReceived();
         return error;
@@ -394,6 +438,8 @@
         inFlight.clear();
         probes.clear();
         writesOnceUp.clear();
+        received.clear();
+        countMemory();
     }
 
     /** The name and the address of the node. */
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -120,6 +120,7 @@
                         config.sockets(),
                         RESERVED_DESCRIPTORS
                                 + (sessions == null ? 0 : sessions.settings.descriptors()));
+        MemoryBudget memory = MemoryBudget.ofThisProcess();
         Config.Connections limits = config.connections();
         nodeClient =
                 new NodeClient(
@@ -133,12 +134,12 @@
                                 this::maxNodeConnections,
                                 config.settings().permissions().withdrawals(),
                                 limits.loadProbes()),
+                        new MemoryLimit(memory.nodeConnections()),
                         this,
                         events,
                         rules);
         ServedCatalog catalog =
                 new ServedCatalog(config.products(), config.tenants(), config.shards());
-        MemoryBudget memory = MemoryBudget.ofThisProcess();
         multigetMemory =
                 new MultigetMemory(new MemoryLimit(memory.multigets()), this::maxClientConnections);
         httpServer =
--- a/src/test/java/gladewing/frames/NodeFramesTest.java
+++ b/src/test/java/gladewing/frames/NodeFramesTest.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +44,30 @@
         assertEquals("malformed\n", read(new byte[] {0, 0, 3, 0, 'A'}, 5));
     }
 
+    /**
+     * A large text is in the frame as it is, and the frame shares it. Guards against a copy for
+     * each part, with which a text that is asked of every shard takes as much memory for each.
+     */
+    @Test
+    void largeTextsAreSharedByTheFramesOfTheirParts() {
+        byte[] text = "x".repeat(10_000).getBytes(StandardCharsets.US_ASCII);
+        ByteBuf frame =
+                NodeFrames.call(
+                        UnpooledByteBufAllocator.DEFAULT,
+                        List.of(
+                                new NodeFrames.CallPart("9b.3", 3, 240, text),
+                                new NodeFrames.CallPart("9b.4", 4, 240, text)));
+        Arrays.fill(text, (byte) 'y');
+        String expected =
+                "Q9b.3 3 d=240 10000\n"
+                        + "y".repeat(10_000)
+                        + "9b.4 4 d=240 10000\n"
+                        + "y".repeat(10_000);
+        assertEquals(expected.length(), frame.getIntLE(0));
+        assertEquals(expected, frame.toString(4, expected.length(), StandardCharsets.US_ASCII));
+        assertEquals(4 + expected.length(), frame.readableBytes());
+    }
+
     private static String read(byte[] bytes, int step) {
         ConnectionBuffer in = new ConnectionBuffer(1000);
         FrameReader reader = new FrameReader();
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -10,6 +10,7 @@
 import gladewing.decisions.Transmission;
 import gladewing.events.RouterEvents;
 import gladewing.lifecycle.LifecycleRules;
+import gladewing.lifecycle.MemoryLimit;
 import gladewing.loop.Loop;
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
@@ -25,6 +26,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
@@ -45,6 +47,8 @@
     private final Queue<LifecycleRules.Violation> violations = new ConcurrentLinkedQueue<>();
     private final StringBuilder trace = new StringBuilder();
     private NodeClient client;
+    private static final int PARTIAL_ANSWER_BYTES = 32 * 1024;
+    private MemoryLimit memory = new MemoryLimit(Long.MAX_VALUE);
 
     @Override
     public void passBegan(Time now) {}
@@ -95,6 +99,7 @@
                                             () -> maxConnections,
                                             withdrawalsAllowed,
                                             true),
+                                    memory,
                                     this,
                                     new RouterEvents(),
                                     new LifecycleRules(violations::add));
@@ -291,6 +296,69 @@
         }
     }
 
+    /**
+     * Guards against answers that begin, do not end and together use up the heap, over all
+     * connections: what has held its memory longest gives way, and its parts end as broken.
+     */
+    @Test
+    void incompleteAnswersGiveWayWhenTheyHoldTooMuchMemory() throws Exception {
+        memory = new MemoryLimit(3 * PARTIAL_ANSWER_BYTES - 1);
+        start(10, true, LONG, LONG);
+        try (FakeDataNode node = new FakeDataNode()) {
+            for (int i = 1; i <= 3; i++) {
+                putNode("n" + i, node.port());
+                transmit(to("n" + i, Trace.silentMultiget("" + i, 2, 0), 0, LONG));
+                byte[] answer = new byte[PARTIAL_ANSWER_BYTES];
+                byte[] start = "\0\0\1\0Ax ok 1 -\n".getBytes(StandardCharsets.ISO_8859_1);
+                System.arraycopy(start, 0, answer, 0, start.length);
+                node.nextFrame().writeBytes(answer);
+                Thread.sleep(50);
+            }
+            putNode("sound", node.port());
+            recordNextEnd();
+            transmit(to("sound", Trace.silentMultiget("4", 2, 0), 0, LONG));
+            node.nextFrame().answer("4.0", "ok", "value");
+            recordNextEnd();
+            assertEquals("end: 1.0 BROKEN\nend: 4.0 ANSWERED value\n", trace.toString());
+            run(() -> assertTrue(memory.heldBytes() <= memory.maxBytes()));
+        }
+    }
+
+    /**
+     * Guards against a table that grows with clients that set a time limit of minutes and leave at
+     * once: a withdrawn part is remembered for some seconds, and not for the whole time limit.
+     */
+    @Test
+    void withdrawnPartsAreForgottenBeforeALongTimeLimit() throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG, LONG);
+            putNode("n", node.port());
+            AcceptedMultiget ended = Trace.silentMultiget("1", 2, 0);
+            Decisions decisions = new Decisions(new Trace().settings(), 7, new Time(0));
+            Transmission part = to("n", ended, 0, Span.ofMillis(600_000));
+            run(
+                    () -> {
+                        decisions.beginTurn(new Time(0));
+                        decisions.accept(ended);
+                        client.transmit(List.of(part));
+                    });
+            node.nextFrame();
+            run(
+                    () -> {
+                        decisions.clientLeft(ended);
+                        client.withdraw(part);
+                    });
+            recordNextEnd();
+            int remembered = thread.submit(() -> client.withdrawnCount()).get();
+            assertEquals(1, remembered);
+            for (int i = 0; i < 150 && remembered > 0; i++) {
+                Thread.sleep(100);
+                remembered = thread.submit(() -> client.withdrawnCount()).get();
+            }
+            assertEquals(0, remembered);
+        }
+    }
+
     /**
      * Where withdrawals are not allowed, the node still works on a part that timed out. It must
      * count towards the limit of parts on the connection until the node has answered it.
