Log what others have sent on one line of bounded length

Found by reading: a line end in it began a line of the log that a peer had made up, and 256 such lines wait where the log's reader is slow, 17 to 34 MB of a heap of 80.

Change: messages have control characters and line separators as escapes and at most 4,096 characters, a record with its trace at most 16,384. Traces of errors keep their lines.

--- a/src/main/java/gladewing/serve/AsyncLogHandler.java
+++ b/src/main/java/gladewing/serve/AsyncLogHandler.java
@@ -33,7 +33,8 @@
     public void publish(LogRecord record) {
         if (isLoggable(record)) {
             unwritten.incrementAndGet();
-            if (!lines.offer(getFormatter().format(record))) {
+            record.setMessage(LogText.message(String.valueOf(record.getMessage())));
+            if (!lines.offer(LogText.record(getFormatter().format(record)))) {
                 unwritten.decrementAndGet();
                 dropped.incrementAndGet();
             }
