Bound what one list of discovery or one message of the control service makes of the heap

Seen on the text before, heap of 48 MB: an answer of discovery of 2 MB of objects {"":0} logs "discovery failed, the last list is kept: connection error: Java heap space" (ServeMemoryTest. nodeListsDoNotUseUpTheHeap): the loop's thread was out of memory, and only by luck in a place that bears it. Cause: a value of two to seven bytes takes 24 to 176 bytes once read, and only the bytes were bounded. Changes of the list could also go on naming data nodes without end (by reading). A message of the control service may have 4 MB and is read whole before its signature is checked.

A message of the control service has at most 200,000 tokens, counted before it is kept.

--- a/src/main/java/gladewing/control/ControlMessageCodec.java
+++ b/src/main/java/gladewing/control/ControlMessageCodec.java
@@ -38,6 +38,9 @@
     private static final int MAX_NESTING = 16;
     private static final int MAX_REPORTED_FAULTS = 3;
 
+    /** Bound on the memory of a message read; one with edits has a handful for each edit. */
+    private static final int MAX_TOKENS = 200_000;
+
     private final ObjectMapper json = new ObjectMapper();
     private final JsonSchema schema;
 
@@ -92,6 +95,9 @@
             // Decoded here because Jackson accepts some malformed UTF-8.
             String text =
                     StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(utf8)).toString();
+            if (hasTooManyTokens(text)) {
+                return invalid(Stage.READABLE, "more than " + MAX_TOKENS + " tokens of JSON", null);
+            }
             node = json.readTree(text);
         } catch (CharacterCodingException malformed) {
             return invalid(Stage.READABLE, "not UTF-8", null);
@@ -134,6 +140,20 @@
         };
     }
 
+    private boolean hasTooManyTokens(String text) throws JsonProcessingException {
+        try (JsonParser parser = json.getFactory().createParser(text)) {
+            int tokens = 0;
+            while (tokens <= MAX_TOKENS && parser.nextToken() != null) {
+                tokens++;
+            }
+            return tokens > MAX_TOKENS;
+        } catch (JsonProcessingException malformed) {
+            throw malformed;
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+    }
+
     private static Message invalid(Stage stage, String reason, JsonNode node) {
         boolean identified =
                 node != null
--- a/src/main/java/gladewing/discovery/DiscoveryWatcher.java
+++ b/src/main/java/gladewing/discovery/DiscoveryWatcher.java
@@ -11,6 +11,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.logging.Logger;
 
 /**
@@ -36,6 +37,14 @@
 
     private static final Span RETRY_DELAY = Span.ofMillis(100);
 
+    /**
+     * More than twice the 3,200 data nodes of the largest fleet, as a release lists old and new.
+     */
+    static final int MAX_NODES = 8192;
+
+    /** Bound on the memory of one answer: an entry has some ten values. */
+    private static final int MAX_LIST_VALUES = 16 * MAX_NODES;
+
     final Loop loop;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
@@ -54,6 +63,9 @@
 
     private boolean isFailing;
 
+    /** The names of the data nodes in the list in use. */
+    private Set<String> listedNodes = Set.of();
+
     /**
      * @param cells how many cells data nodes may be in
      */
@@ -129,11 +141,19 @@
         }
         NodeListUpdate update;
         try {
-            update = NodeListUpdate.parse(Json.fields("list", body), cells);
+            update = NodeListUpdate.parse(Json.fields("list", body, MAX_LIST_VALUES), cells);
         } catch (InvalidInputException bad) {
             failed(from, bad.getMessage());
             return;
         }
+        Set<String> listed =
+                update.isSnapshot() || !update.entries().isEmpty()
+                        ? update.listedAfter(listedNodes)
+                        : listedNodes;
+        if (listed.size() > MAX_NODES) {
+            failed(from, "a list of more than " + MAX_NODES + " data nodes");
+            return;
+        }
         timer.cancel();
         if (isFailing) {
             LOG.info("discovery answers again");
@@ -150,6 +170,7 @@
             revision = -1;
         } else {
             revision = update.revision();
+            listedNodes = listed;
             listener.nodeListUpdated(update);
         }
         requestList();
--- a/src/main/java/gladewing/discovery/NodeListUpdate.java
+++ b/src/main/java/gladewing/discovery/NodeListUpdate.java
@@ -4,7 +4,9 @@
 import gladewing.json.Fields;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * One answer of discovery: all data nodes, or those that have changed since an earlier revision.
@@ -28,6 +30,8 @@
     public record NodeEntry(
             String uid, InetSocketAddress endpoint, int cell, long startedAtMillis, State state) {}
 
+    private static final int MAX_UID_LENGTH = 256;
+
     /**
      * Reads an update from discovery's JSON.
      *
@@ -45,9 +49,13 @@
                         default -> throw entry.wrong("state", "a known state");
                     };
             boolean isRemoved = state == State.REMOVED;
+            String uid = entry.text("uid");
+            if (uid.length() > MAX_UID_LENGTH) {
+                throw entry.wrong("uid", "a name of at most " + MAX_UID_LENGTH + " characters");
+            }
             entries.add(
                     new NodeEntry(
-                            entry.text("uid"),
+                            uid,
                             isRemoved ? null : Endpoint.read(entry.text("endpoint")),
                             isRemoved ? 0 : entry.index("pod_group", cells),
                             isRemoved ? 0 : (long) entry.number("boot_ms", 0),
@@ -55,4 +63,17 @@
         }
         return new NodeListUpdate(json.whole("rev"), json.flag("all"), entries);
     }
+
+    /** The names of the data nodes that are listed once this is applied to a list with others. */
+    Set<String> listedAfter(Set<String> listedBefore) {
+        Set<String> listed = new HashSet<>(isSnapshot ? Set.of() : listedBefore);
+        for (NodeEntry entry : entries) {
+            if (entry.state == State.REMOVED) {
+                listed.remove(entry.uid);
+            } else {
+                listed.add(entry.uid);
+            }
+        }
+        return listed;
+    }
 }
--- a/src/main/java/gladewing/json/Json.java
+++ b/src/main/java/gladewing/json/Json.java
@@ -15,12 +15,17 @@
     private static final int MAX_DEPTH = 32;
 
     private final String text;
+    private final int maxValues;
+
+    /** How many values have begun. */
+    private int values;
 
     /** Position of the next character. */
     private int position;
 
-    private Json(String text) {
+    private Json(String text, int maxValues) {
         this.text = text;
+        this.maxValues = maxValues;
     }
 
     /**
@@ -29,7 +34,18 @@
      * @throws InvalidInputException if it is not one JSON value
      */
     public static Object read(byte[] utf8) {
-        Json json = new Json(new String(utf8, StandardCharsets.UTF_8));
+        return read(utf8, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Parses a whole text with a bound on the memory of the result: a value takes far more than the
+     * one or two bytes that it may be written with.
+     *
+     * @param maxValues how many objects, arrays, strings, numbers and words there may be
+     * @throws InvalidInputException if it is not one JSON value, or has more values
+     */
+    private static Object read(byte[] utf8, int maxValues) {
+        Json json = new Json(new String(utf8, StandardCharsets.UTF_8), maxValues);
         Object value = json.value(0);
         json.skipSpace();
         if (json.position < json.text.length()) {
@@ -44,9 +60,20 @@
      * @param name name of the object in error messages
      * @throws InvalidInputException if the text is not one JSON object
      */
-    @SuppressWarnings("unchecked")
     public static Fields fields(String name, byte[] utf8) {
-        if (read(utf8) instanceof Map<?, ?> object) {
+        return fields(name, utf8, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Parses a text that is a JSON object with a bound on the memory of the result.
+     *
+     * @param name name of the object in error messages
+     * @param maxValues how many objects, arrays, strings, numbers and words there may be
+     * @throws InvalidInputException if the text is not one JSON object, or has more values
+     */
+    @SuppressWarnings("unchecked")
+    public static Fields fields(String name, byte[] utf8, int maxValues) {
+        if (read(utf8, maxValues) instanceof Map<?, ?> object) {
             return Fields.of(name, (Map<String, Object>) object);
         }
         throw new InvalidInputException(name + ": not a JSON object");
@@ -105,6 +132,9 @@
         if (depth > MAX_DEPTH) {
             throw error("nested deeper than " + MAX_DEPTH + " levels");
         }
+        if (++values > maxValues) {
+            throw error("more than " + maxValues + " values");
+        }
         skipSpace();
         char c = next();
         switch (c) {
--- a/src/test/java/gladewing/json/JsonTest.java
+++ b/src/test/java/gladewing/json/JsonTest.java
@@ -1,6 +1,8 @@
 package gladewing.json;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladewing.router.Trace;
 import java.io.IOException;
@@ -46,4 +48,14 @@
         Json.quote(quoted, text);
         assertEquals(text, Json.read(quoted.toString().getBytes(StandardCharsets.UTF_8)));
     }
+
+    /** Guards against texts of small values, which take many times their bytes once read. */
+    @Test
+    void numberOfValuesIsBounded() {
+        byte[] text = "{\"a\":[1,2]}".getBytes(StandardCharsets.UTF_8);
+        assertEquals(2, Json.fields("t", text, 4).number("a", 1, 0));
+        InvalidInputException tooMany =
+                assertThrows(InvalidInputException.class, () -> Json.fields("t", text, 3));
+        assertTrue(tooMany.getMessage().contains("more than 3 values"), tooMany.getMessage());
+    }
 }
--- a/src/test/java/gladewing/serve/ServeMemoryTest.java
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -97,6 +97,46 @@
         assertRuns();
     }
 
+    /**
+     * Guards against node lists that use up the heap: a value of two bytes takes a hundred, and
+     * changes may go on naming further data nodes.
+     */
+    @Test
+    void nodeListsDoNotUseUpTheHeap() throws Exception {
+        startWithList(DESCRIPTORS);
+        String smallObjects = "{\"\":0},".repeat(250_000);
+        String body = "{\"rev\":8,\"all\":true,\"targets\":[],\"more\":[" + smallObjects + "0]}";
+        discovery.setAnswer(
+                8, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        awaitLog("discovery failed, the last list is kept: not JSON");
+        assertServes("r1");
+        int nodesPerChange = 4000;
+        for (int change = 0; change < 3; change++) {
+            String[] targets = new String[nodesPerChange];
+            for (int i = 0; i < nodesPerChange; i++) {
+                targets[i] =
+                        target("further-" + (change * nodesPerChange + i), "127.0.0.1:9", 1, "up");
+            }
+            discovery.setList(9 + change, false, targets);
+            if (change < 2) {
+                assertTrue(discovery.awaitWatch(9 + change, 1000 * TIMEOUT_S));
+            }
+        }
+        awaitLog("a list of more than 8192 data nodes");
+        assertServes("r2");
+        assertRuns();
+    }
+
+    private void awaitLog(String text) throws InterruptedException {
+        for (int i = 0; i < 100 * TIMEOUT_S; i++) {
+            if (log.stream().anyMatch(line -> line.contains(text))) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError("not logged: " + text + " in " + log);
+    }
+
     /** Sends a signal to the router. */
     private void signal(String name) throws Exception {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
