Bound what incomplete messages of all long-lived sessions hold together

By reading: held-bytes-in-all counts messages that wait for a node, but not messages that have begun and do not end, nor the buffers they are in: 16 KB and more on each of up to 5,000 sessions and their connections to nodes. Change: they are counted against the same number of bytes; beyond it the connection whose message has been incomplete for longest, of those with more than an equal share, gives way: a client's session ends with 1013, a node's connection as broken. A complete message is no longer kept until the next one is read. MemoryHolder.giveWay is one method for all kinds of connections.

Test: LiveServeTest.incompleteMessagesGiveWayWhenTheyHoldTooMuchMemory.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -366,7 +366,8 @@
      * Gives back the memory of what the client has sent, and of responses that it does not read. A
      * request that is not complete is refused; what follows an open one is dropped.
      */
-    void giveWay() {
+    @Override
+    public void giveWay() {
         server.events.record(Event.CLIENT_OVER_MEMORY, this, heldBytes());
         received.clear();
         message.startNextMessage();
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -227,18 +227,13 @@
 
     /** Lets connections give way while they hold more memory together than they may. */
     void limitMemory() {
-        ClientConnection first = memory.firstToGiveWay(connections);
-        if (first != null && !memoryLimitLogged) {
+        if (memory.enforce(connections) > 0 && !memoryLimitLogged) {
             LOG.warning(
-                    "connections to clients hold more than "
+                    "connections to clients held more than "
                             + memory.maxBytes()
-                            + " bytes; those that hold most have to give way");
+                            + " bytes; those that held most had to give way");
             memoryLimitLogged = true;
         }
-        while (first != null) {
-            first.giveWay();
-            first = memory.firstToGiveWay(connections);
-        }
     }
 
     /** Sets how readiness checks are answered. */
--- a/src/main/java/gladewing/lifecycle/MemoryHolder.java
+++ b/src/main/java/gladewing/lifecycle/MemoryHolder.java
@@ -9,4 +9,7 @@
 
     /** Since when it has held what it would give back. */
     Time heldSince();
+
+    /** Gives that memory back, and ends what it was held for. */
+    void giveWay();
 }
--- a/src/main/java/gladewing/lifecycle/MemoryLimit.java
+++ b/src/main/java/gladewing/lifecycle/MemoryLimit.java
@@ -48,19 +48,35 @@
         return heldBytes + addedBytes <= maxBytes || ownBytes <= maxBytes / maxHolders;
     }
 
+    /**
+     * Lets holders give way, one after the other, until the limit is kept.
+     *
+     * @return how many gave way
+     */
+    public int enforce(Collection<? extends MemoryHolder> holders) {
+        int count = 0;
+        for (MemoryHolder first = firstToGiveWay(holders);
+                first != null;
+                first = firstToGiveWay(holders)) {
+            first.giveWay();
+            count++;
+        }
+        return count;
+    }
+
     /**
      * Returns the holder that gives way first: of those that could give back more than an equal
      * share of the limit, the one that has held it longest. What arrives at once is kept for a
      * moment only, so that is most likely one that stopped in the middle of something. Returns null
      * if the limit is kept, or if nobody holds more than an equal share.
      */
-    public <H extends MemoryHolder> H firstToGiveWay(Collection<H> holders) {
+    private MemoryHolder firstToGiveWay(Collection<? extends MemoryHolder> holders) {
         if (!isExceeded()) {
             return null;
         }
         long equalShare = maxBytes / Math.max(1, holders.size());
-        H first = null;
-        for (H holder : holders) {
+        MemoryHolder first = null;
+        for (MemoryHolder holder : holders) {
             if (holder.releasableBytes() > equalShare
                     && (first == null || holder.heldSince().before(first.heldSince()))) {
                 first = holder;
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -364,11 +364,7 @@
         }
         List<NodeConnection> connections =
                 pools.values().stream().flatMap(pool -> pool.connections.stream()).toList();
-        for (NodeConnection first = memory.firstToGiveWay(connections);
-                first != null;
-                first = memory.firstToGiveWay(connections)) {
-            first.giveWay();
-        }
+        memory.enforce(connections);
     }
 
     /** Returns how many withdrawn transmissions are remembered. */
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -308,7 +308,8 @@
     }
 
     /** Closes the connection, which gives back what it has received of an incomplete frame. */
-    void giveWay() {
+    @Override
+    public void giveWay() {
         protocolError("connections to data nodes hold too much memory");
     }
 
--- a/src/main/java/gladewing/sessionsockets/ClientSocket.java
+++ b/src/main/java/gladewing/sessionsockets/ClientSocket.java
@@ -6,7 +6,9 @@
 import gladewing.json.Fields;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
+import gladewing.lifecycle.MemoryHolder;
 import gladewing.router.Span;
+import gladewing.router.Time;
 import gladewing.sessionpolicy.MessageTracker;
 import gladewing.sessionpolicy.Session;
 import gladewing.sessionpolicy.UpstreamConnection;
@@ -23,7 +25,7 @@
  * The connection of a session to its client: the handshake, the messages and the close. Each wait
  * has a time limit.
  */
-final class ClientSocket implements UpgradedConnection {
+final class ClientSocket implements UpgradedConnection, MemoryHolder {
     private enum State {
         HANDSHAKE,
         OPEN,
@@ -43,6 +45,7 @@
     /** Input that arrives before the upgrade is answered; it is read afterwards. */
     private ConnectionBuffer unreadInput;
 
+    private final PartialMessage partialMessage;
     private long lastReceivedAt;
     private long lastPingAt;
     private long closeDeadline;
@@ -55,6 +58,7 @@
                         ? Handshake.response(request, null)
                         : "";
         decoder = new MessageDecoder(true, server.settings.maxMessageBytes());
+        partialMessage = new PartialMessage(server.partialMessages);
         lastReceivedAt = server.now();
     }
 
@@ -125,6 +129,35 @@
 
     @Override
     public void read(ConnectionBuffer in) {
+        readMessages(in);
+        if (state == State.CLOSED) {
+            partialMessage.clear();
+        } else {
+            partialMessage.update(in, decoder, server.loop.enterPass());
+            server.limitMemory();
+        }
+    }
+
+    @Override
+    public long releasableBytes() {
+        return partialMessage.size();
+    }
+
+    @Override
+    public Time heldSince() {
+        return partialMessage.since();
+    }
+
+    /** Ends the session, and drops the message that its client has not completed. */
+    @Override
+    public void giveWay() {
+        partialMessage.clear();
+        unreadInput.clear();
+        closeSession(CloseCode.TRY_AGAIN_LATER, "no room to hold more");
+        closeAfterFlush();
+    }
+
+    private void readMessages(ConnectionBuffer in) {
         lastReceivedAt = server.now();
         unreadInput = in;
         if (state == State.CLOSED) {
@@ -267,6 +300,7 @@
     @Override
     public void connectionClosed() {
         state = State.CLOSED;
+        partialMessage.clear();
         server.clientLeft(this);
         server.remove(this);
         if (tracker != null) {
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -5,7 +5,9 @@
 import gladewing.json.Fields;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
+import gladewing.lifecycle.MemoryHolder;
 import gladewing.nodes.Connector;
+import gladewing.router.Time;
 import gladewing.sessionpolicy.MessageTracker;
 import gladewing.sessionpolicy.UpstreamConnection;
 import gladewing.sockets.ConnectionAttempt;
@@ -25,7 +27,7 @@
 /**
  * The socket of an upstream connection: a WebSocket to a data node, with this router as its client.
  */
-final class NodeSocket extends ChannelInboundHandlerAdapter {
+final class NodeSocket extends ChannelInboundHandlerAdapter implements MemoryHolder {
     private static final Logger LOG = Logger.getLogger(NodeSocket.class.getName());
 
     private enum State {
@@ -42,6 +44,7 @@
     private final MessageReader responseReader = new MessageReader();
     private final MessageDecoder decoder;
     private final ConnectionBuffer in;
+    private final PartialMessage partialMessage;
     private Channel channel;
     private State state = State.OPENING;
 
@@ -69,6 +72,7 @@
                         MessageReader.MAX_HEAD_BYTES
                                 + MessageDecoder.bufferSize(server.settings.maxMessageBytes()) * 2
                                 + 65_536);
+        partialMessage = new PartialMessage(server.partialMessages);
         server.random.nextBytes(nonce);
         deadline = server.now() + server.settings.openTimeout();
     }
@@ -100,8 +104,31 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        readMessages((ByteBuf) message);
+        if (state != State.CLOSED) {
+            partialMessage.update(in, decoder, server.loop.enterPass());
+            server.limitMemory();
+        }
+    }
+
+    @Override
+    public long releasableBytes() {
+        return partialMessage.size();
+    }
+
+    @Override
+    public Time heldSince() {
+        return partialMessage.since();
+    }
+
+    /** Ends the connection, and drops the message that its node has not completed. */
+    @Override
+    public void giveWay() {
+        fail("incomplete messages of sessions hold too much memory");
+    }
+
+    private void readMessages(ByteBuf bytes) {
         lastReceivedAt = server.now();
-        ByteBuf bytes = (ByteBuf) message;
         try {
             if (state != State.CLOSED && !in.append(bytes)) {
                 fail("input buffer overflow: more bytes than a message may have");
@@ -297,6 +324,7 @@
                             CloseCode.GOING_AWAY, "", SessionMessages.maskingKey(server.random)));
         } else if (state == State.OPENING) {
             state = State.CLOSED;
+            partialMessage.clear();
             server.remove(this);
             channel.close();
         }
@@ -323,6 +351,8 @@
         }
         boolean wasClosedByNode = closeReceived;
         state = State.CLOSED;
+        partialMessage.clear();
+        in.clear();
         ConnectionAttempt.close(channel);
         for (int i = 0; isSending && i < connection.shardCount(); i++) {
             int shardIndex = connection.shardIndex(i);
--- a/src/main/java/gladewing/sessionsockets/SessionServer.java
+++ b/src/main/java/gladewing/sessionsockets/SessionServer.java
@@ -5,6 +5,8 @@
 import gladewing.config.Config;
 import gladewing.decisions.Decisions;
 import gladewing.http.MessageReader;
+import gladewing.lifecycle.MemoryHolder;
+import gladewing.lifecycle.MemoryLimit;
 import gladewing.loop.Loop;
 import gladewing.nodes.Connector;
 import gladewing.router.Settings;
@@ -47,6 +49,10 @@
     SessionSettings settings;
     final SessionPlanner planner;
     final MessageTracker.BufferBudget bufferBudget;
+
+    /** What clients and nodes have sent of messages that are not complete. */
+    final MemoryLimit partialMessages;
+
     final SecureRandom random = new SecureRandom();
     private int ticks;
     private final Decisions decisions;
@@ -80,6 +86,7 @@
         shardCount = config.shards();
         planner = new SessionPlanner(settings, this, this, config.seed());
         bufferBudget = new MessageTracker.BufferBudget(settings.maxTotalBufferedBytes());
+        partialMessages = new MemoryLimit(settings.maxTotalBufferedBytes());
         loop.schedule(TICK_INTERVAL, this::tick);
     }
 
@@ -92,6 +99,17 @@
         planner.updateSettings(newSettings);
     }
 
+    /** Lets connections give way while their incomplete messages hold too much memory together. */
+    void limitMemory() {
+        if (!partialMessages.isExceeded()) {
+            return;
+        }
+        List<MemoryHolder> holders = new ArrayList<>(clients.values());
+        holders.addAll(closingClients);
+        holders.addAll(nodeSockets.values());
+        partialMessages.enforce(holders);
+    }
+
     private void tick() {
         long now = now();
         planner.tick(now);
--- a/src/main/java/gladewing/websocket/MessageDecoder.java
+++ b/src/main/java/gladewing/websocket/MessageDecoder.java
@@ -75,6 +75,7 @@
      * violation.
      */
     public Event read(ConnectionBuffer in) {
+        payload = EMPTY;
         while (!isEnded) {
             if (in.size() < 2) {
                 return Event.INCOMPLETE;
@@ -276,6 +277,11 @@
         return reason;
     }
 
+    /** Returns how much memory the fragments of an incomplete message take, in bytes. */
+    public int heldBytes() {
+        return message.length;
+    }
+
     /** Returns whether the start of a frame or message has been received, but not its end. */
     public boolean hasPartialMessage(ConnectionBuffer in) {
         return !isEnded && (in.size() > 0 || messageOpcode != 0);
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -117,6 +117,27 @@
         }
     }
 
+    /**
+     * Guards against messages that begin and do not end, in many sessions at once, and so use up
+     * the heap: the one that has been incomplete longest ends its session.
+     */
+    @Test
+    void incompleteMessagesGiveWayWhenTheyHoldTooMuchMemory() throws Exception {
+        startWithSessions("held-bytes = 16384\nheld-bytes-in-all = 40000\n");
+        List<SessionClient> stuck = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            SessionClient client = new SessionClient("/sheet/live?shards=0");
+            client.socket.sendText("{\"shard\":0,\"n\":1,\"data\":\"" + "x".repeat(15_000), false);
+            stuck.add(client);
+        }
+        assertEquals("close 1013", stuck.get(0).next());
+        SessionClient sound = new SessionClient("/sheet/live?shards=1");
+        assertEquals("{\"shard\":1,\"resume\":0,\"sent\":0}", nodes.get(1).next());
+        sound.send(1, 1, "one");
+        assertEquals("{\"shard\":1,\"n\":1,\"data\":\"one\"}", nodes.get(1).next());
+        assertTrue(stuck.get(3).received.isEmpty());
+    }
+
     /**
      * When a node drains, its legs move to another node of the cell. Messages keep their order, and
      * none is lost.
