Refuse texts that can't be passed on unchanged instead of replacing what is malformed

Cause, confirmed by the node's bytes in the record: Json.read decoded with new String(utf8, UTF_8), which puts U+FFFD for what is malformed; RequestReader encodes q anew from that. Ruled out: the reader of HTTP (bodies are bytes) and the frames (the payload is written as it is). The same cause on the way back to bytes: "\ud800" in JSON is half of a surrogate pair, and getBytes puts '?' for it, so a text with such an escape was sent to data nodes as another one as well.

Json refuses what is not UTF-8 and strings with half of a surrogate pair: a client gets 400, a live session's message 1008, a list of discovery is a failed answer, a configuration a line at the start. U+FFFD that was sent as itself passes.

--- a/src/main/java/gladewing/json/Json.java
+++ b/src/main/java/gladewing/json/Json.java
@@ -1,6 +1,7 @@
 package gladewing.json;
 
-import java.nio.charset.StandardCharsets;
+import gladewing.buffer.Utf8;
+import java.nio.charset.CharacterCodingException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -8,7 +9,8 @@
 
 /**
  * Parses a JSON text. Objects become maps in the order of their fields, arrays become lists, and
- * numbers become Long, or Double if they have a fraction, an exponent or more than 18 characters.
+ * numbers become Long, or Double if they have a fraction, an exponent or more than 18 characters. A
+ * text that can't be passed on as it is is an error: malformed UTF-8 and halves of surrogate pairs.
  */
 public final class Json {
     /** Deeper than any valid message; it bounds the stack that a hostile text can use. */
@@ -45,7 +47,7 @@
      * @throws InvalidInputException if it is not one JSON value, or has more values
      */
     private static Object read(byte[] utf8, int maxValues) {
-        Json json = new Json(new String(utf8, StandardCharsets.UTF_8), maxValues);
+        Json json = new Json(decode(utf8), maxValues);
         Object value = json.value(0);
         json.skipSpace();
         if (json.position < json.text.length()) {
@@ -95,6 +97,14 @@
         out.append('"');
     }
 
+    private static String decode(byte[] utf8) {
+        try {
+            return Utf8.decode(utf8);
+        } catch (CharacterCodingException malformed) {
+            throw new InvalidInputException("not JSON: not UTF-8");
+        }
+    }
+
     private InvalidInputException error(String reason) {
         return new InvalidInputException("not JSON at character " + position + ": " + reason);
     }
@@ -214,7 +224,11 @@
             }
             unescaped.append(c == '\\' ? escape() : c);
         }
-        return unescaped.toString();
+        String string = unescaped.toString();
+        if (!Utf8.isEncodable(string)) {
+            throw error("an escape for half of a surrogate pair");
+        }
+        return string;
     }
 
     private char escape() {
--- a/src/test/java/gladewing/json/JsonTest.java
+++ b/src/test/java/gladewing/json/JsonTest.java
@@ -58,4 +58,34 @@
                 assertThrows(InvalidInputException.class, () -> Json.fields("t", text, 3));
         assertTrue(tooMany.getMessage().contains("more than 3 values"), tooMany.getMessage());
     }
+
+    /**
+     * Guards against texts that are passed on as others: what can't be decoded, or can't be encoded
+     * again, is an error and is not replaced. U+FFFD itself is a character like any other.
+     */
+    @Test
+    void textsThatCannotBePassedOnAreErrors() {
+        byte[][] malformed = {
+            {'"', 'a', (byte) 0xff, '"'},
+            {'"', 'a', (byte) 0xc3, '"'},
+            {'"', (byte) 0x80, '"'},
+            {'"', (byte) 0xc0, (byte) 0x80, '"'},
+            {'"', (byte) 0xed, (byte) 0xa0, (byte) 0x80, '"'},
+            {'"', (byte) 0xf4, (byte) 0x90, (byte) 0x80, (byte) 0x80, '"'},
+            {'"', (byte) 0xef, (byte) 0xbf, (byte) 0xbd, (byte) 0xff, '"'},
+        };
+        for (byte[] text : malformed) {
+            InvalidInputException error =
+                    assertThrows(InvalidInputException.class, () -> Json.read(text));
+            assertEquals("not JSON: not UTF-8", error.getMessage());
+        }
+        for (String escapes :
+                new String[] {"\\ud800", "\\udc00", "\\ud800a", "\\udc00\\ud800", "a\\ud83d"}) {
+            String error = read("\"" + escapes + "\"");
+            assertTrue(error.contains("half of a surrogate pair"), escapes + ": " + error);
+        }
+        assertEquals("String \ud83d\ude00", read("\"\\ud83d\\ude00\""));
+        assertEquals("String a\ufffdb", read("\"a\ufffdb\""));
+        assertEquals("String a\ufffdb", read("\"a\\ufffdb\""));
+    }
 }
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -83,6 +83,39 @@
                 log.stream().noneMatch(line -> line.contains("discovery failed")), log.toString());
     }
 
+    /**
+     * A text that is not UTF-8, or that has half of a surrogate pair, is refused. Guards against
+     * parts with another text than the client has sent, and against answers to them.
+     */
+    @Test
+    void refusesTextsThatCannotBePassedOnUnchanged() throws Exception {
+        startWithList();
+        // The client sends each character as one byte.
+        for (String text : new String[] {"a\u00ffb", "a\u00c3b", "a\u0080", "a\\ud800b"}) {
+            Client client = new Client().send(multigetWithText("bad", text));
+            assertEquals("400 close", client.readResponse(), text);
+            client.close();
+        }
+        Client client = new Client().send(multigetWithText("good", "a\u00c3\u00a9b\\u00e9"));
+        FakeDataNode.Frame call = nodeA.nextFrame();
+        assertEquals("Q good.0 0 6|a\u00e9b\u00e9", call.toString());
+        call.answer("good.0", "ok", "z\u00e9");
+        assertEquals(
+                "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"z\u00e9\"}]}",
+                client.readResponse());
+        assertTrue(nodeA.hasNoFrames());
+    }
+
+    private static String multigetWithText(String id, String text) {
+        String body = "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"" + text + "\"}";
+        return "POST /report HTTP/1.1\r\nX-Request-ID: "
+                + id
+                + "\r\nX-Timeout-Ms: 3000\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
     /** A late answer for a client that has disconnected must not reach another client. */
     @Test
     void withdrawsTheMultigetOfAClientThatDisconnects() throws Exception {
