Refuse messages of the control service with half of a surrogate pair

By reading, then by test: JSON may have "\ud800", and the digest of a text is made of its UTF-8, in which getBytes puts '?' for it. So a text with such an escape has the digest, and passes the signature, of another one that has '?' in its place. Such a message is not readable now.

Test: ControlMessageCodecTest.messageWithHalfOfASurrogatePairIsNotReadable, red before (the stage was SCHEMA).

--- a/src/main/java/gladewing/control/ControlMessageCodec.java
+++ b/src/main/java/gladewing/control/ControlMessageCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -12,6 +13,7 @@
 import com.networknt.schema.JsonSchemaFactory;
 import com.networknt.schema.SpecVersion;
 import com.networknt.schema.ValidationMessage;
+import gladewing.buffer.Utf8;
 import gladewing.settings.Fault;
 import gladewing.versions.ConfigKind;
 import gladewing.versions.LineEdit;
@@ -21,9 +23,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -93,10 +93,10 @@
         JsonNode node;
         try {
             // Decoded here because Jackson accepts some malformed UTF-8.
-            String text =
-                    StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(utf8)).toString();
-            if (hasTooManyTokens(text)) {
-                return invalid(Stage.READABLE, "more than " + MAX_TOKENS + " tokens of JSON", null);
+            String text = Utf8.decode(utf8);
+            String fault = tokenFault(text);
+            if (fault != null) {
+                return invalid(Stage.READABLE, fault, null);
             }
             node = json.readTree(text);
         } catch (CharacterCodingException malformed) {
@@ -140,13 +140,23 @@
         };
     }
 
-    private boolean hasTooManyTokens(String text) throws JsonProcessingException {
+    /**
+     * Returns what is wrong with the tokens of a JSON text, or null. A string with half of a
+     * surrogate pair has the digest of another one, as it can't be encoded.
+     */
+    private String tokenFault(String text) throws JsonProcessingException {
         try (JsonParser parser = json.getFactory().createParser(text)) {
             int tokens = 0;
-            while (tokens <= MAX_TOKENS && parser.nextToken() != null) {
-                tokens++;
+            for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+                if (++tokens > MAX_TOKENS) {
+                    return "more than " + MAX_TOKENS + " tokens of JSON";
+                }
+                boolean isText = token == JsonToken.VALUE_STRING || token == JsonToken.FIELD_NAME;
+                if (isText && !Utf8.isEncodable(parser.getText())) {
+                    return "a string with half of a surrogate pair";
+                }
             }
-            return tokens > MAX_TOKENS;
+            return null;
         } catch (JsonProcessingException malformed) {
             throw malformed;
         } catch (IOException impossible) {
--- a/src/main/java/gladewing/frames/PartAnswer.java
+++ b/src/main/java/gladewing/frames/PartAnswer.java
@@ -1,6 +1,8 @@
 package gladewing.frames;
 
+import gladewing.buffer.Utf8;
 import gladewing.router.NodeLoad;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
@@ -34,13 +36,12 @@
                 || !line[1].equals(OK) && !line[1].equals(ERROR) && !line[1].equals(BUSY)) {
             return null;
         }
-        byte[] valueBytes = Arrays.copyOfRange(payload, lineEnd + 1, payload.length);
-        String value = new String(valueBytes, StandardCharsets.UTF_8);
-        if (value.indexOf('\uFFFD') >= 0
-                && !Arrays.equals(valueBytes, value.getBytes(StandardCharsets.UTF_8))) {
+        try {
+            String value = Utf8.decode(Arrays.copyOfRange(payload, lineEnd + 1, payload.length));
+            return new PartAnswer(line[0], line[1], LoadReport.parse(line[3]), value);
+        } catch (CharacterCodingException malformed) {
             return null;
         }
-        return new PartAnswer(line[0], line[1], LoadReport.parse(line[3]), value);
     }
 
     /** A score is a dash or decimal digits; it is checked and not used. */
--- a/src/test/java/gladewing/control/ControlMessageCodecTest.java
+++ b/src/test/java/gladewing/control/ControlMessageCodecTest.java
@@ -19,4 +19,17 @@
         assertEquals(Stage.READABLE, decoded.invalid().stage());
         assertTrue(decoded.invalid().reason().contains("tokens"), decoded.invalid().reason());
     }
+
+    /**
+     * Guards against a text that is put in force in the place of the signed one: half of a
+     * surrogate pair and "?" have the same bytes once encoded, and so the same digest.
+     */
+    @Test
+    void messageWithHalfOfASurrogatePairIsNotReadable() {
+        String message = "{\"type\":\"heartbeat\",\"note\":\"a\\ud800b\"}";
+        ControlMessageCodec.Message decoded =
+                codec.decode(message.getBytes(StandardCharsets.UTF_8));
+        assertEquals(Stage.READABLE, decoded.invalid().stage());
+        assertEquals("a string with half of a surrogate pair", decoded.invalid().reason());
+    }
 }
