Refuse files of the command line that are not UTF-8 instead of changing them

Reading a file stood twice; it is in TextFile.

Test: ControlCommandTest.filesThatAreNotUtf8AreRefused, red before (the file was packed).

--- a/src/main/java/gladewing/cli/ControlCommand.java
+++ b/src/main/java/gladewing/cli/ControlCommand.java
@@ -12,12 +12,7 @@
 import gladewing.versions.LineEdit;
 import gladewing.versions.Manifest;
 import gladewing.versions.SigningKeys;
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.InvalidPathException;
-import java.nio.file.Path;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -54,14 +49,6 @@
         return spec.commandLine().getOut();
     }
 
-    private static byte[] readFile(String path) {
-        try {
-            return Files.readAllBytes(Path.of(path));
-        } catch (IOException | InvalidPathException exception) {
-            throw new Commands.CommandFailedException("cannot read " + path + ": " + exception);
-        }
-    }
-
     private static ControlSettings readSettings(String path) {
         try {
             ControlSettings settings = ControlSettings.read(path);
@@ -76,7 +63,7 @@
 
     /** Reads a message of type set, which must conform to the message schema. */
     private ControlMessageCodec.VersionPush readPush(String path) {
-        ControlMessageCodec.Message message = codec.decode(readFile(path));
+        ControlMessageCodec.Message message = codec.decode(TextFile.readBytes(path));
         if (message.invalid() != null) {
             throw new Commands.CommandFailedException(
                     path
@@ -165,7 +152,7 @@
             if (kind == null) {
                 throw new ParameterException(spec.commandLine(), "Unknown kind: " + file.getKey());
             }
-            String text = new String(readFile(file.getValue()), StandardCharsets.UTF_8);
+            String text = TextFile.read(file.getValue());
             String baseText = baseTexts.get(kind);
             boolean isUnchanged = text.equals(baseText);
             entries.put(
--- a/src/main/java/gladewing/cli/Requests.java
+++ b/src/main/java/gladewing/cli/Requests.java
@@ -5,11 +5,7 @@
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
 import gladewing.routes.RoutingRequest;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.InvalidPathException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -44,14 +40,14 @@
 
     /** Reads a file that holds one request. */
     static RoutingRequest readRequest(String path) {
-        return parse(path, readFile(path)).request;
+        return parse(path, TextFile.readBytes(path)).request;
     }
 
     /** Reads a file with one request on each line; blank lines are skipped. */
     static List<Recorded> readLog(String path) {
         List<Recorded> requests = new ArrayList<>();
         int lineNumber = 0;
-        for (String line : new String(readFile(path), StandardCharsets.UTF_8).split("\n")) {
+        for (String line : TextFile.read(path).split("\n")) {
             lineNumber++;
             if (!line.isBlank()) {
                 requests.add(
@@ -61,14 +57,6 @@
         return requests;
     }
 
-    private static byte[] readFile(String path) {
-        try {
-            return Files.readAllBytes(Path.of(path));
-        } catch (IOException | InvalidPathException exception) {
-            throw new Commands.CommandFailedException("cannot read " + path + ": " + exception);
-        }
-    }
-
     private static Recorded parse(String name, byte[] json) {
         try {
             Object parsed = Json.read(json);
--- a/src/test/java/gladewing/cli/ControlCommandTest.java
+++ b/src/test/java/gladewing/cli/ControlCommandTest.java
@@ -1,6 +1,8 @@
 package gladewing.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladewing.durable.DiskDirectory;
 import gladewing.durable.StateStore;
@@ -244,4 +246,35 @@
         run(null, "state", "show", "none");
         assertEquals(Trace.expected("commands-state.txt"), transcript.toString());
     }
+
+    /** Guards against files that are signed, or replayed, with another text than they have. */
+    @Test
+    void filesThatAreNotUtf8AreRefused() throws IOException {
+        write(
+                "control.ini",
+                "[control]\non = yes\naddress = 127.0.0.1:9\nsite = clinic\n[key k1]\nsecret = "
+                        + "00".repeat(32)
+                        + "\n");
+        Files.write(
+                folder.resolve("one.ini"),
+                "# for caf\u00e9s\n".getBytes(StandardCharsets.ISO_8859_1));
+        run(
+                null,
+                "control",
+                "pack",
+                "--control",
+                "control.ini",
+                "--epoch",
+                "1",
+                "--number",
+                "1",
+                "--kind",
+                "routes=one.ini");
+        assertTrue(
+                transcript.toString().contains("cannot read one.ini: not UTF-8\nexit 1"),
+                transcript.toString());
+        assertThrows(
+                Commands.CommandFailedException.class,
+                () -> Requests.readLog(folder.resolve("one.ini").toString()));
+    }
 }
