Refuse names of data nodes with control characters; name the address in handshakes

A list with such a name, or one of over 256 characters, is a failed answer now, and the handshake names the node's address and port, as RFC 6455 has it.

--- a/src/main/java/gladewing/discovery/NodeListUpdate.java
+++ b/src/main/java/gladewing/discovery/NodeListUpdate.java
@@ -50,8 +50,12 @@
                     };
             boolean isRemoved = state == State.REMOVED;
             String uid = entry.text("uid");
-            if (uid.length() > MAX_UID_LENGTH) {
-                throw entry.wrong("uid", "a name of at most " + MAX_UID_LENGTH + " characters");
+            if (uid.length() > MAX_UID_LENGTH || uid.chars().anyMatch(Character::isISOControl)) {
+                throw entry.wrong(
+                        "uid",
+                        "a name of at most "
+                                + MAX_UID_LENGTH
+                                + " characters, without control characters");
             }
             entries.add(
                     new NodeEntry(
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -46,6 +46,10 @@
     private final ConnectionBuffer in;
     private final PartialMessage partialMessage;
     private Channel channel;
+
+    /** The node's address and port, which the handshake names; its name may have any character. */
+    private String host;
+
     private State state = State.OPENING;
 
     /** Whether the messages of the shards are sent on this connection. */
@@ -78,6 +82,7 @@
     }
 
     void open(Connector connector, InetSocketAddress endpoint) {
+        host = endpoint.getHostString() + ":" + endpoint.getPort();
         ChannelFuture opening = connector.connect(this, endpoint);
         channel = opening.channel();
         // Reported in a later pass, as the planner may still be opening this connection.
@@ -98,7 +103,7 @@
         SessionMessages.write(
                 server.loop,
                 channel,
-                Handshake.request("/live?shards=" + shards, connection.node, nonce, null, "")
+                Handshake.request("/live?shards=" + shards, host, nonce, null, "")
                         .getBytes(StandardCharsets.US_ASCII));
     }
 
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -138,6 +138,16 @@
         assertTrue(stuck.get(3).received.isEmpty());
     }
 
+    /** Guards against messages that reach the other side with another text than was sent. */
+    @Test
+    void refusesMessagesThatCannotBePassedOnUnchanged() throws Exception {
+        startWithSessions("");
+        SessionClient client = new SessionClient("/sheet/live?shards=0");
+        assertEquals("{\"shard\":0,\"resume\":0,\"sent\":0}", nodes.get(0).next());
+        client.send(0, 1, "a\\ud800b");
+        assertEquals("close 1008", client.next());
+    }
+
     /**
      * When a node drains, its legs move to another node of the cell. Messages keep their order, and
      * none is lost.
