Give node lists and partial messages classes of their own

The equal share of a limit is computed in one place, and not divided by no holder. Behaviour unchanged. ServeMemoryTest bounds direct memory as the run line does.

--- a/src/main/java/gladewing/lifecycle/MemoryLimit.java
+++ b/src/main/java/gladewing/lifecycle/MemoryLimit.java
@@ -45,7 +45,7 @@
      * @param maxHolders the most holders that there may be
      */
     public boolean mayTake(long ownBytes, long addedBytes, int maxHolders) {
-        return heldBytes + addedBytes <= maxBytes || ownBytes <= maxBytes / maxHolders;
+        return heldBytes + addedBytes <= maxBytes || ownBytes <= equalShare(maxHolders);
     }
 
     /**
@@ -74,7 +74,7 @@
         if (!isExceeded()) {
             return null;
         }
-        long equalShare = maxBytes / Math.max(1, holders.size());
+        long equalShare = equalShare(holders.size());
         MemoryHolder first = null;
         for (MemoryHolder holder : holders) {
             if (holder.releasableBytes() > equalShare
@@ -84,4 +84,8 @@
         }
         return first;
     }
+
+    private long equalShare(int holders) {
+        return maxBytes / Math.max(1, holders);
+    }
 }
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -39,10 +39,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.logging.Logger;
 
 /**
@@ -99,11 +96,7 @@
     private long dismissed;
     private long givenUp;
 
-    /**
-     * Unix time minus the time of the loop's clock, in microseconds. It is fixed at the start, so
-     * that the start times of nodes do not change when the system clock is set.
-     */
-    private final long unixOffsetMicros;
+    private final NodeListApplier nodeLists;
 
     /**
      * @param connector opens connections to data nodes
@@ -113,7 +106,6 @@
         this.thread = thread;
         this.config = config;
         loop = new Loop(thread);
-        unixOffsetMicros = System.currentTimeMillis() * 1000 - Loop.readClock().micros();
         decisions = new Decisions(config.settings(), config.seed(), Loop.readClock());
         descriptors =
                 new DescriptorBudget(
@@ -138,6 +130,9 @@
                         this,
                         events,
                         rules);
+        nodeLists =
+                new NodeListApplier(
+                        nodeClient, System.currentTimeMillis() * 1000 - Loop.readClock().micros());
         ServedCatalog catalog =
                 new ServedCatalog(config.products(), config.tenants(), config.shards());
         multigetMemory =
@@ -430,55 +425,11 @@
         if (nodeListCache != null) {
             nodeListCache.update(update);
         }
-        List<NodeTable.Entry<String>> entries = new ArrayList<>();
-        if (update.isSnapshot()) {
-            nodeClient.removeAllNodes();
-        }
-        for (NodeListUpdate.NodeEntry node : update.entries()) {
-            NodeTable.State state =
-                    switch (node.state()) {
-                        case UP -> NodeTable.State.UP;
-                        case DRAINING -> NodeTable.State.DRAINING;
-                        case REMOVED -> NodeTable.State.REMOVED;
-                    };
-            if (state == NodeTable.State.REMOVED) {
-                nodeClient.removeNode(node.uid());
-            } else {
-                nodeClient.putNode(node.uid(), node.endpoint(), node.startedAtMillis());
-                if (state == NodeTable.State.DRAINING) {
-                    nodeClient.markDraining(node.uid());
-                }
-            }
-            Time startedAt =
-                    node.startedAtMillis() > 0
-                            ? new Time(node.startedAtMillis() * 1000 - unixOffsetMicros)
-                            : null;
-            entries.add(new NodeTable.Entry<>(node.uid(), node.cell(), startedAt, state));
-        }
+        List<NodeTable.Entry<String>> entries = nodeLists.entries(update);
+        nodeLists.applyToConnections(update);
         carryOut(decisions.nodeListReceived(update.isSnapshot(), entries));
         if (live != null) {
-            updateSessionNodes(update, entries);
-        }
-    }
-
-    /** Passes a list of data nodes on to the long-lived sessions. */
-    private void updateSessionNodes(NodeListUpdate update, List<NodeTable.Entry<String>> entries) {
-        Set<String> listed = new HashSet<>();
-        for (int i = 0; i < entries.size(); i++) {
-            NodeTable.Entry<String> entry = entries.get(i);
-            if (entry.state() == NodeTable.State.REMOVED) {
-                live.nodeRemoved(entry.id());
-            } else {
-                listed.add(entry.id());
-                live.nodeListed(
-                        entry.id(),
-                        update.entries().get(i).endpoint(),
-                        entry.startedAt(),
-                        entry.state() == NodeTable.State.DRAINING);
-            }
-        }
-        if (update.isSnapshot()) {
-            live.removeNodesExcept(listed);
+            nodeLists.applyToSessions(update, entries, live);
         }
     }
 
--- a/src/main/java/gladewing/sessionsockets/ClientSocket.java
+++ b/src/main/java/gladewing/sessionsockets/ClientSocket.java
@@ -6,9 +6,7 @@
 import gladewing.json.Fields;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
-import gladewing.lifecycle.MemoryHolder;
 import gladewing.router.Span;
-import gladewing.router.Time;
 import gladewing.sessionpolicy.MessageTracker;
 import gladewing.sessionpolicy.Session;
 import gladewing.sessionpolicy.UpstreamConnection;
@@ -25,7 +23,7 @@
  * The connection of a session to its client: the handshake, the messages and the close. Each wait
  * has a time limit.
  */
-final class ClientSocket implements UpgradedConnection, MemoryHolder {
+final class ClientSocket implements UpgradedConnection {
     private enum State {
         HANDSHAKE,
         OPEN,
@@ -45,7 +43,7 @@
     /** Input that arrives before the upgrade is answered; it is read afterwards. */
     private ConnectionBuffer unreadInput;
 
-    private final PartialMessage partialMessage;
+    final PartialMessage partialMessage;
     private long lastReceivedAt;
     private long lastPingAt;
     private long closeDeadline;
@@ -58,7 +56,7 @@
                         ? Handshake.response(request, null)
                         : "";
         decoder = new MessageDecoder(true, server.settings.maxMessageBytes());
-        partialMessage = new PartialMessage(server.partialMessages);
+        partialMessage = new PartialMessage(server.partialMessages, this::dropPartialMessage);
         lastReceivedAt = server.now();
     }
 
@@ -138,20 +136,8 @@
         }
     }
 
-    @Override
-    public long releasableBytes() {
-        return partialMessage.size();
-    }
-
-    @Override
-    public Time heldSince() {
-        return partialMessage.since();
-    }
-
     /** Ends the session, and drops the message that its client has not completed. */
-    @Override
-    public void giveWay() {
-        partialMessage.clear();
+    private void dropPartialMessage() {
         unreadInput.clear();
         closeSession(CloseCode.TRY_AGAIN_LATER, "no room to hold more");
         closeAfterFlush();
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -5,9 +5,7 @@
 import gladewing.json.Fields;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
-import gladewing.lifecycle.MemoryHolder;
 import gladewing.nodes.Connector;
-import gladewing.router.Time;
 import gladewing.sessionpolicy.MessageTracker;
 import gladewing.sessionpolicy.UpstreamConnection;
 import gladewing.sockets.ConnectionAttempt;
@@ -27,7 +25,7 @@
 /**
  * The socket of an upstream connection: a WebSocket to a data node, with this router as its client.
  */
-final class NodeSocket extends ChannelInboundHandlerAdapter implements MemoryHolder {
+final class NodeSocket extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(NodeSocket.class.getName());
 
     private enum State {
@@ -44,7 +42,7 @@
     private final MessageReader responseReader = new MessageReader();
     private final MessageDecoder decoder;
     private final ConnectionBuffer in;
-    private final PartialMessage partialMessage;
+    final PartialMessage partialMessage;
     private Channel channel;
 
     /** The node's address and port, which the handshake names; its name may have any character. */
@@ -76,7 +74,7 @@
                         MessageReader.MAX_HEAD_BYTES
                                 + MessageDecoder.bufferSize(server.settings.maxMessageBytes()) * 2
                                 + 65_536);
-        partialMessage = new PartialMessage(server.partialMessages);
+        partialMessage = new PartialMessage(server.partialMessages, this::dropPartialMessage);
         server.random.nextBytes(nonce);
         deadline = server.now() + server.settings.openTimeout();
     }
@@ -116,19 +114,8 @@
         }
     }
 
-    @Override
-    public long releasableBytes() {
-        return partialMessage.size();
-    }
-
-    @Override
-    public Time heldSince() {
-        return partialMessage.since();
-    }
-
     /** Ends the connection, and drops the message that its node has not completed. */
-    @Override
-    public void giveWay() {
+    private void dropPartialMessage() {
         fail("incomplete messages of sessions hold too much memory");
     }
 
--- a/src/main/java/gladewing/sessionsockets/PartialMessage.java
+++ b/src/main/java/gladewing/sessionsockets/PartialMessage.java
@@ -1,20 +1,26 @@
 package gladewing.sessionsockets;
 
 import gladewing.buffer.ConnectionBuffer;
+import gladewing.lifecycle.MemoryHolder;
 import gladewing.lifecycle.MemoryLimit;
 import gladewing.router.Time;
 import gladewing.websocket.MessageDecoder;
 
-/** Counts what one connection of a session holds of a message that is not complete. */
-final class PartialMessage {
+/** What one connection of a session holds of a message that is not complete. */
+final class PartialMessage implements MemoryHolder {
     private final MemoryLimit limit;
+    private final Runnable drop;
     private long countedBytes;
 
     /** Since when there has been an incomplete message; null if there is none. */
     private Time since;
 
-    PartialMessage(MemoryLimit limit) {
+    /**
+     * @param drop ends the connection or its session, and drops the message
+     */
+    PartialMessage(MemoryLimit limit, Runnable drop) {
         this.limit = limit;
+        this.drop = drop;
     }
 
     /** Updates the count after a read. */
@@ -38,12 +44,19 @@
         countedBytes = bytes;
     }
 
-    /** In bytes. */
-    long size() {
+    @Override
+    public long releasableBytes() {
         return countedBytes;
     }
 
-    Time since() {
+    @Override
+    public Time heldSince() {
         return since;
     }
+
+    @Override
+    public void giveWay() {
+        clear();
+        drop.run();
+    }
 }
--- a/src/main/java/gladewing/sessionsockets/SessionServer.java
+++ b/src/main/java/gladewing/sessionsockets/SessionServer.java
@@ -5,7 +5,6 @@
 import gladewing.config.Config;
 import gladewing.decisions.Decisions;
 import gladewing.http.MessageReader;
-import gladewing.lifecycle.MemoryHolder;
 import gladewing.lifecycle.MemoryLimit;
 import gladewing.loop.Loop;
 import gladewing.nodes.Connector;
@@ -104,9 +103,10 @@
         if (!partialMessages.isExceeded()) {
             return;
         }
-        List<MemoryHolder> holders = new ArrayList<>(clients.values());
-        holders.addAll(closingClients);
-        holders.addAll(nodeSockets.values());
+        List<PartialMessage> holders = new ArrayList<>();
+        clients.values().forEach(client -> holders.add(client.partialMessage));
+        closingClients.forEach(client -> holders.add(client.partialMessage));
+        nodeSockets.values().forEach(node -> holders.add(node.partialMessage));
         partialMessages.enforce(holders);
     }
 
--- a/src/test/java/gladewing/serve/ServeMemoryTest.java
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -15,6 +15,9 @@
 public class ServeMemoryTest extends ServeTestHarness {
     private static final int DESCRIPTORS = 1024;
 
+    /** As in the run line of the deploy file; the heap of the harness is smaller than there. */
+    private static final String DIRECT_MEMORY = "-XX:MaxDirectMemorySize=8m";
+
     /** Within this time a client that sends no complete request is owed an error or a close. */
     private static final int BAD_CLIENT_ANSWER_MILLIS = 3000;
 
@@ -34,6 +37,7 @@
      */
     @Test
     void unfinishedRequestsOfManyClientsDoNotUseUpTheHeap() throws Exception {
+        jvmOptions.add(DIRECT_MEMORY);
         startWithList(DESCRIPTORS);
         byte[] unfinished = unfinishedRequest();
         for (int round = 0; round < 2; round++) {
@@ -61,6 +65,7 @@
      */
     @Test
     void multigetsOfClientsThatLeaveKeepNoText() throws Exception {
+        jvmOptions.add(DIRECT_MEMORY);
         startWithList(DESCRIPTORS);
         for (int i = 0; i < 1000; i++) {
             Client leaving = new Client();
@@ -82,6 +87,7 @@
     @Test
     void textsOfManyOpenMultigetsDoNotUseUpTheHeap() throws Exception {
         maxOpen = MAX_OPEN;
+        jvmOptions.add(DIRECT_MEMORY);
         startWithList(DESCRIPTORS);
         List<Client> clients = connect(OPEN_MULTIGETS);
         signal("STOP");
@@ -103,6 +109,7 @@
      */
     @Test
     void nodeListsDoNotUseUpTheHeap() throws Exception {
+        jvmOptions.add(DIRECT_MEMORY);
         startWithList(DESCRIPTORS);
         String smallObjects = "{\"\":0},".repeat(250_000);
         String body = "{\"rev\":8,\"all\":true,\"targets\":[],\"more\":[" + smallObjects + "0]}";
