--- a/src/test/java/gladewing/serve/ServeMemoryTest.java
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -58,6 +58,36 @@
         assertRuns();
     }
 
+    /**
+     * Guards against bytes that wait behind open requests and use up the heap: each connection kept
+     * up to 72 KB of them. The open request gets its answer, and its connection is closed then.
+     */
+    @Test
+    void bytesBehindOpenRequestsDoNotUseUpTheHeap() throws Exception {
+        jvmOptions.add(DIRECT_MEMORY);
+        maxOpen = MAX_OPEN;
+        startWithList(DESCRIPTORS);
+        List<Client> clients = connect(OPEN_MULTIGETS);
+        for (int i = 0; i < OPEN_MULTIGETS; i++) {
+            sendMultiget(clients.get(i), "o" + i, 3000, "c4", 1);
+        }
+        byte[] further = new byte[70_000];
+        for (Client client : clients) {
+            client.socket.getOutputStream().write(further);
+        }
+        assertServes("r1");
+        int closed = 0;
+        for (Client client : clients) {
+            String response = client.readResponse();
+            assertTrue(response.matches("(429|503|504).*"), response);
+            closed += response.contains("close") ? 1 : 0;
+            client.close();
+        }
+        assertTrue(closed > 0, "no connection had to give way");
+        assertServes("r2");
+        assertRuns();
+    }
+
     /**
      * Guards against parts that keep the texts of clients that have left: a data node may still
      * answer a part that was withdrawn, so the part was kept, and with it all that its client had
