End the process when its event loop has ended instead of staying without it

Cause, by reading: the main thread waits for the end of the loop and returns 0; where Netty's own end of the thread fails too, nothing tells of it.

Change: an error that leaves the loop's thread ends the process with 1 and a line (EventLoopGuard); the end of the loop is no longer 0.

--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -29,7 +29,7 @@
     public record Files(String routes, String attempts, String live, String control) {}
 
     /**
-     * Serves until the process is told to terminate.
+     * Serves until the process is told to terminate; returns only if that fails.
      *
      * @param configPath path of the configuration; null is an error
      * @param errors gets the reason if the router can't start
@@ -63,6 +63,8 @@
             MultiThreadIoEventLoopGroup group =
                     new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
+            EventLoopGuard guard = new EventLoopGuard(errors, Runtime.getRuntime()::halt);
+            thread.submit(guard::guardThisThread).get();
             ClassPreloader.run();
             WarmUp.run(config);
             Bootstrap bootstrap = RouterRuntime.bootstrap(thread);
@@ -128,8 +130,9 @@
                                 + ": "
                                 + listening.cause().getMessage());
             }
+            // The loop runs as long as the process, so its end is a fault.
             group.terminationFuture().await();
-            return 0;
+            errors.println("serve: the event loop has ended");
         } catch (InvalidInputException invalid) {
             errors.println("serve: " + invalid.getMessage());
         } catch (ExecutionException fault) {
