Start the event loop's thread only after classes are loaded in advance

Cause, by reading, not traced: submitted the guard to the loop before ClassPreloader had run, so the classes that the loop's thread needs were loaded while reads of class files may fail, before anything repeats them. The guard is set after that now.

--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -63,9 +63,10 @@
             MultiThreadIoEventLoopGroup group =
                     new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EventLoop thread = group.next();
+            ClassPreloader.run();
+            // Not before: this starts the loop's thread, which loads classes that may fail to load.
             EventLoopGuard guard = new EventLoopGuard(errors, Runtime.getRuntime()::halt);
             thread.submit(guard::guardThisThread).get();
-            ClassPreloader.run();
             WarmUp.run(config);
             Bootstrap bootstrap = RouterRuntime.bootstrap(thread);
             RouterRuntime runtime =
