Test that a large request in two pieces is served once others' memory is given back

A count that is not taken back would let every unfinished request of usual clients give way for good.

--- a/src/test/java/gladewing/serve/ServeMemoryTest.java
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -55,6 +55,7 @@
                 bad.close();
             }
         }
+        assertServesLargeRequest("large");
         assertRuns();
     }
 
@@ -84,7 +85,7 @@
             client.close();
         }
         assertTrue(closed > 0, "no connection had to give way");
-        assertServes("r2");
+        assertServesLargeRequest("r2");
         assertRuns();
     }
 
@@ -129,7 +130,7 @@
             assertTrue(client.readResponse().matches("(429|503|504).*"));
             client.close();
         }
-        assertServes("r1");
+        assertServesLargeRequest("r1");
         assertRuns();
     }
 
@@ -190,21 +191,24 @@
     private static void sendMultiget(
             Client client, String id, int timeoutMillis, String text, int... shards)
             throws IOException {
+        client.send(multiget(id, timeoutMillis, text, shards));
+    }
+
+    private static String multiget(String id, int timeoutMillis, String text, int... shards) {
         String parts =
                 Arrays.stream(shards)
                         .mapToObj(
                                 s -> "{\"shard\":" + s + ",\"weight\":" + 1.0 / shards.length + "}")
                         .collect(Collectors.joining(","));
         String body = "{\"shards\":[" + parts + "],\"q\":\"" + text + "\"}";
-        client.send(
-                "POST /report HTTP/1.1\r\nX-Request-ID: "
-                        + id
-                        + "\r\nX-Timeout-Ms: "
-                        + timeoutMillis
-                        + "\r\nContent-Length: "
-                        + body.length()
-                        + "\r\n\r\n"
-                        + body);
+        return "POST /report HTTP/1.1\r\nX-Request-ID: "
+                + id
+                + "\r\nX-Timeout-Ms: "
+                + timeoutMillis
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
     }
 
     /** Waits until node A gets a call with this part. */
@@ -237,6 +241,21 @@
         }
     }
 
+    /**
+     * A client that sends a large request in two pieces is served, once all others have left. It is
+     * refused where the memory that they held is still counted.
+     */
+    private void assertServesLargeRequest(String id) throws Exception {
+        Client sound = new Client();
+        String request = multiget(id, 3000, LARGE_TEXT, 0);
+        sound.send(request.substring(0, request.length() / 2));
+        Thread.sleep(100);
+        sound.send(request.substring(request.length() / 2));
+        awaitCall(id + ".0").answer(id + ".0", "ok", "zero");
+        assertTrue(sound.readResponse().startsWith("200 {\"complete\":true"));
+        sound.close();
+    }
+
     /** A client that asks now is served. */
     private void assertServes(String id) throws Exception {
         Client sound = new Client().sendMultiget("report", id, 0);
