--- a/src/test/java/gladewing/serve/ServeTestHarness.java
+++ b/src/test/java/gladewing/serve/ServeTestHarness.java
@@ -341,7 +341,7 @@
     }
 
     /** A client with one connection to the router. */
-    final class Client {
+    final class Client implements AutoCloseable {
         final Socket socket;
 
         Client() throws IOException {
@@ -409,7 +409,8 @@
                     + (length > 0 ? " " + body : "");
         }
 
-        void close() throws IOException {
+        @Override
+        public void close() throws IOException {
             socket.close();
         }
     }
