Record how and with what left a client's connection ends, and how long requests waited

Added: CLIENT_ENDED with CLOSED or RESET, the open request, the bytes not begun and not written; REQUEST_ACCEPTED with the time left, the time waited and the connection; a reset and a close are told apart (ReadEvent). The details are made only where single events are logged.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -221,10 +221,18 @@
         openMultiget =
                 reader.newMultiget(
                         this, timeLeft, product, tenant, server.retryPolicyFor(product, decision));
-        server.events.record(Event.REQUEST_ACCEPTED, reader.id(), timeLeft);
+        server.events.record(Event.REQUEST_ACCEPTED, reader.id(), acceptance(timeLeft, waited));
         server.listener.multigetReceived(openMultiget);
     }
 
+    /** Describes the acceptance of a request for the log of events. */
+    private Object acceptance(Span timeLeft, Span waited) {
+        if (!server.events.isLogged()) {
+            return timeLeft;
+        }
+        return timeLeft.millis() + " ms left, waited " + waited.millis() + " ms, from " + this;
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (upgraded != null) {
@@ -241,8 +249,9 @@
      */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event == ReadEvent.ENDED) {
+        if (event instanceof ReadEvent read && read.isEnd()) {
             server.loop.enterPass();
+            server.events.record(Event.CLIENT_ENDED, this, ending(read));
             abandonMultiget();
         } else if (event == ReadEvent.FAILED && openMultiget != null) {
             ClientMultiget unknown = openMultiget;
@@ -256,6 +265,21 @@
         }
     }
 
+    /** Describes the end of the connection for the log of events. */
+    private Object ending(ReadEvent read) {
+        if (!server.events.isLogged()) {
+            return read;
+        }
+        return read
+                + ", "
+                + (openMultiget == null ? "nothing" : openMultiget.id)
+                + " open, "
+                + received.size()
+                + " bytes not begun, "
+                + unwrittenBytes
+                + " bytes not written";
+    }
+
     private void giveUpIfUnread(ClientMultiget multiget) {
         if (multiget == openMultiget
                 && channel instanceof ResilientSocketChannel socket
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -16,6 +16,8 @@
     REQUEST_ABANDONED,
 
     CLIENT_CONNECTED,
+    /** The client has closed or reset its connection; with what was open and not begun then. */
+    CLIENT_ENDED,
     CLIENT_CLOSED,
     CLIENT_EVICTED,
     /** What a connection held was dropped, as all of them together held too much memory. */
--- a/src/main/java/gladewing/events/RouterEvents.java
+++ b/src/main/java/gladewing/events/RouterEvents.java
@@ -37,6 +37,11 @@
         }
     }
 
+    /** Whether single events are logged, so that their details are needed. */
+    public boolean isLogged() {
+        return LOG.isLoggable(Level.FINE);
+    }
+
     /** How often an event was recorded. */
     public long count(Event event) {
         return counts[event.ordinal()];
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -146,7 +146,7 @@
             count = super.doReadBytes(target);
         } catch (SocketException | ClosedChannelException ended) {
             // The JDK tells a reset by the other side from all other failures by its type.
-            pipeline().fireUserEventTriggered(ReadEvent.ENDED);
+            pipeline().fireUserEventTriggered(ReadEvent.RESET);
             throw ended;
         } catch (IOException failure) {
             return repeatRead(failure);
@@ -160,7 +160,7 @@
         wasLastReadEmpty = false;
         reads.succeeded();
         if (count < 0) {
-            pipeline().fireUserEventTriggered(ReadEvent.ENDED);
+            pipeline().fireUserEventTriggered(ReadEvent.CLOSED);
         }
         hasPollFoundBytes = isPolling;
         isWatchConfirmed = !isPolling;
