Read clients' connections on while requests wait, and begin only what was read to its end

Cause: ClientConnection stopped reading with 72 KB behind an open request, and began what it had buffered one after the other; the end of a connection is behind all that its client has sent, so it was never read. The same mistake where reads fail: what was buffered was begun, each for 50 ms.

Why this works: reading never pauses. RequestBuffer keeps 72 KB; what does not fit is refused, oldest first, and only counted until its 503 can be written, so memory does not grow. A request is begun only once its socket was read to its end in the same pass; where that does not succeed for 50 ms, the open request is given up and complete ones are refused, as was so for failing reads alone.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -1,10 +1,10 @@
 package gladewing.clients;
 
-import gladewing.buffer.ConnectionBuffer;
 import gladewing.events.Event;
 import gladewing.http.MessageReader;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryHolder;
+import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.routes.RoutingDecision;
@@ -42,17 +42,12 @@
     private static final Span NEW_CONNECTION_PERIOD = Span.ofMillis(500);
 
     private final HttpServer server;
-    private final ConnectionBuffer received =
-            new ConnectionBuffer(MessageReader.MAX_BUFFERED_BYTES);
-    private final MessageReader message = new MessageReader();
+    private final RequestBuffer requests = new RequestBuffer();
     private Channel channel;
 
     /** The multiget that is being served, or null. */
     private ClientMultiget openMultiget;
 
-    /** The time of the pass in which the open multiget began; its parts are sent at the end. */
-    private Time openedAt;
-
     /** What handles the connection after an upgrade; null while it speaks HTTP. */
     private UpgradedConnection upgraded;
 
@@ -83,11 +78,8 @@
      */
     private Time requestDueSince;
 
-    /**
-     * The earliest time at which the bytes in {@link #received} may have arrived at this machine;
-     * null while they are the start of a single request.
-     */
-    private Time arrivedAt;
+    /** Gives up what is open if the socket is not read to its end; null while it is. */
+    private Timer unreadTimer;
 
     Time lastReadAt;
 
@@ -111,23 +103,76 @@
             requestDueSince = lastReadAt;
         }
         Time readArrivedAt = earliestArrival();
-        if (arrivedAt == null) {
-            arrivedAt = readArrivedAt;
-        }
         ByteBuf bytes = (ByteBuf) read;
         try {
-            // Bytes that arrive while the connection is closing are discarded.
-            if (!isClosing && !isDiscarding && !received.append(bytes)) {
+            if (upgraded != null) {
+                readUpgraded(bytes);
+            } else if (!isClosing && !isDiscarding && !requests.append(bytes, readArrivedAt)) {
+                // Bytes that arrive while the connection is closing are discarded.
                 fail("more bytes at once than any request has");
             }
         } finally {
             bytes.release();
         }
-        if (upgraded != null) {
-            upgraded.read(received);
+        countMemory();
+        server.limitMemory();
+    }
+
+    private void readUpgraded(ByteBuf bytes) {
+        if (!isClosing && !requests.rest().append(bytes)) {
+            fail("more bytes at once than any message has");
+        }
+        upgraded.read(requests.rest());
+    }
+
+    /** All that was to be read in this pass has been read, unless the socket says otherwise. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (upgraded == null) {
+            server.loop.enterPass();
+            processRequests();
+            watchUnread();
+        }
+    }
+
+    /** Whether the socket may hold bytes, or the end of the connection, that were not read. */
+    private boolean isUnread() {
+        return channel instanceof ResilientSocketChannel socket && !socket.isReadToEnd();
+    }
+
+    /** Gives up what is open unless the socket is read to its end in time. */
+    private void watchUnread() {
+        if (!isUnread()) {
+            stopUnreadTimer();
+        } else if (unreadTimer == null && (openMultiget != null || requests.hasComplete())) {
+            unreadTimer = server.loop.schedule(LifecycleRules.MAX_UNREAD, this::giveUpUnread);
+        }
+    }
+
+    private void stopUnreadTimer() {
+        if (unreadTimer != null) {
+            unreadTimer.cancel();
+            unreadTimer = null;
+        }
+    }
+
+    /**
+     * Ends what is open and refuses what waits: the socket was not read to its end for long, so it
+     * is not known whether the client is still there.
+     */
+    private void giveUpUnread() {
+        unreadTimer = null;
+        if (isClosing) {
+            return;
+        }
+        requests.refuseComplete();
+        if (openMultiget != null) {
+            ClientMultiget unknown = openMultiget;
+            server.events.record(Event.REQUEST_ABANDONED, unknown.id, "the socket can't be read");
+            server.listener.clientDisconnected(unknown);
+            unknown.givenUp();
         } else {
             processRequests();
-            server.limitMemory();
         }
     }
 
@@ -145,44 +190,58 @@
     }
 
     private void startRequests() {
-        // No more requests are processed while the client does not read its responses.
-        while (server.rules.mayStart(openMultiget != null, isClosing, channel.isWritable())) {
-            MessageReader.Progress progress = message.read(received);
+        // Nothing is answered or begun while the client does not read its responses.
+        while (server.rules.mayAnswerNext(openMultiget != null, isClosing, channel.isWritable())) {
+            if (requests.hasRefusals()) {
+                requests.refusalAnswered();
+                server.events.record(Event.REQUEST_SENT_AHEAD, this, requests.refusals());
+                respond(Responses.UNAVAILABLE, "", "");
+                continue;
+            }
+            MessageReader.Progress progress = requests.read();
             if (progress == MessageReader.Progress.INCOMPLETE) {
-                arrivedAt = null;
                 sendContinueIfExpected();
-                break;
-            }
-            continueSent = false;
-            requestDueSince = received.size() == 0 ? null : lastReadAt;
-            boolean isValid = progress == MessageReader.Progress.MESSAGE;
-            upgraded = isValid ? server.upgrade(this, channel, message) : null;
-            if (upgraded != null) {
-                upgraded.read(received);
                 return;
             }
-            keepAlive = isValid && message.isKeepAlive();
-            String page = isValid ? server.versionPage(message) : null;
-            if (page != null) {
-                respond(RequestReader.READY, "", page);
-                message.startNextMessage();
-                continue;
-            }
-            int status = isValid ? server.reader.read(message) : message.errorStatus();
-            if (status == 0 && !server.reserveId(server.reader.id())) {
-                rejectAndClose(Responses.CONFLICT);
-            } else if (status == 0) {
-                startMultiget();
-            } else if (status == RequestReader.READY) {
-                respond(server.isReady() ? status : Responses.UNAVAILABLE, "", "");
-            } else {
-                rejectAndClose(status);
+            if (!server.rules.mayBegin(isUnread())) {
+                return;
             }
-            message.startNextMessage();
+            startNextRequest(progress == MessageReader.Progress.MESSAGE);
+        }
+    }
+
+    /**
+     * Begins or answers the request that was read last.
+     *
+     * @param isValid whether it is a complete message; if it is not, nothing more can be read
+     */
+    private void startNextRequest(boolean isValid) {
+        MessageReader message = requests.message();
+        continueSent = false;
+        requestDueSince = requests.rest().size() == 0 ? null : lastReadAt;
+        upgraded = isValid ? server.upgrade(this, channel, message) : null;
+        if (upgraded != null) {
+            upgraded.read(requests.rest());
+            return;
+        }
+        keepAlive = isValid && message.isKeepAlive();
+        String page = isValid ? server.versionPage(message) : null;
+        if (page != null) {
+            respond(RequestReader.READY, "", page);
+            requests.startNext();
+            return;
         }
-        // Reading stops only when the buffer is half full, because a close by the client must be
-        // noticed while its multiget is open. What it sends beyond that waits in the socket.
-        channel.config().setAutoRead(received.size() < MessageReader.MAX_BUFFERED_BYTES / 2);
+        int status = isValid ? server.reader.read(message) : message.errorStatus();
+        if (status == 0 && !server.reserveId(server.reader.id())) {
+            rejectAndClose(Responses.CONFLICT);
+        } else if (status == 0) {
+            startMultiget();
+        } else if (status == RequestReader.READY) {
+            respond(server.isReady() ? status : Responses.UNAVAILABLE, "", "");
+        } else {
+            rejectAndClose(status);
+        }
+        requests.startNext();
     }
 
     /**
@@ -193,9 +252,8 @@
         RequestReader reader = server.reader;
         // The client's time has been running while the request waited to be read, or waited for
         // the end of the one before it.
-        Span waited = server.loop.enterPass().since(arrivedAt);
+        Span waited = server.loop.enterPass().since(requests.arrivedAt());
         Span timeLeft = server.limitToDeadline(reader.timeLeft().minus(waited));
-        openedAt = server.loop.enterPass();
         RoutingDecision decision = server.route(timeLeft);
         if (decision != null && decision.isDismissed()) {
             server.releaseId(reader.id());
@@ -244,8 +302,7 @@
 
     /**
      * Withdraws the open multiget in the pass that reads the end of the connection, so that nothing
-     * is sent for it, and gives it up if reads keep failing: it is not known then whether the
-     * client is still there.
+     * is sent for it.
      */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
@@ -253,15 +310,7 @@
             server.loop.enterPass();
             server.events.record(Event.CLIENT_ENDED, this, ending(read));
             abandonMultiget();
-        } else if (event == ReadEvent.FAILED && openMultiget != null) {
-            ClientMultiget unknown = openMultiget;
-            if (server.loop.enterPass().equals(openedAt)) {
-                // Its client may have left long ago, and nothing has been sent for it yet.
-                giveUpIfUnread(unknown);
-            } else {
-                server.loop.schedule(
-                        LifecycleRules.MAX_READ_FAILURE, () -> giveUpIfUnread(unknown));
-            }
+            requests.clear();
         }
     }
 
@@ -274,22 +323,14 @@
                 + ", "
                 + (openMultiget == null ? "nothing" : openMultiget.id)
                 + " open, "
-                + received.size()
+                + requests.refusals()
+                + " requests refused and "
+                + requests.rest().size()
                 + " bytes not begun, "
                 + unwrittenBytes
                 + " bytes not written";
     }
 
-    private void giveUpIfUnread(ClientMultiget multiget) {
-        if (multiget == openMultiget
-                && channel instanceof ResilientSocketChannel socket
-                && socket.isReadFailing()) {
-            server.events.record(Event.REQUEST_ABANDONED, multiget.id, ReadEvent.FAILED);
-            server.listener.clientDisconnected(multiget);
-            multiget.givenUp();
-        }
-    }
-
     /** Withdraws the open multiget, as its client has left. */
     private void abandonMultiget() {
         if (openMultiget != null) {
@@ -302,7 +343,7 @@
     }
 
     private void sendContinueIfExpected() {
-        if (message.expectsContinue() && !continueSent) {
+        if (requests.message().expectsContinue() && !continueSent) {
             continueSent = true;
             channel.write(Unpooled.copiedBuffer(Responses.CONTINUE, StandardCharsets.ISO_8859_1));
             server.loop.flushAfterPass(channel);
@@ -370,7 +411,7 @@
     }
 
     private long heldBytes() {
-        return received.capacity() + message.heldBytes() + unwrittenBytes;
+        return requests.heldBytes() + unwrittenBytes;
     }
 
     @Override
@@ -378,7 +419,7 @@
         if (!channel.isOpen()) {
             return 0;
         }
-        return received.capacity() + message.heldBytes() + (isBlocked() ? unwrittenBytes : 0);
+        return requests.heldBytes() + (isBlocked() ? unwrittenBytes : 0);
     }
 
     @Override
@@ -393,11 +434,9 @@
     @Override
     public void giveWay() {
         server.events.record(Event.CLIENT_OVER_MEMORY, this, heldBytes());
-        received.clear();
-        message.startNextMessage();
+        requests.clear();
         if (openMultiget != null) {
             isDiscarding = true;
-            channel.config().setAutoRead(true);
         } else if (isBlocked()) {
             close();
         } else if (!isClosing) {
@@ -479,7 +518,7 @@
     }
 
     boolean isIdle() {
-        return mayClose() && !message.isMidMessage() && received.size() == 0;
+        return mayClose() && requests.isEmpty();
     }
 
     void close() {
@@ -510,8 +549,8 @@
             upgraded.connectionClosed();
         }
         abandonMultiget();
-        received.clear();
-        message.startNextMessage();
+        requests.clear();
+        stopUnreadTimer();
         countMemory();
     }
 
--- a/src/main/java/gladewing/lifecycle/LifecycleRules.java
+++ b/src/main/java/gladewing/lifecycle/LifecycleRules.java
@@ -16,10 +16,11 @@
     public static final Span MAX_SEND_DELAY = Span.ofMillis(50);
 
     /**
-     * How long a client's connection may be unreadable before its multiget is given up. It became
-     * readable with nothing to be expected but its end, so the client has most likely left.
+     * How long the socket of a client may not be read to its end before its multiget is given up:
+     * reads fail, or more arrives than is read. Nobody who waits for an answer sends anything, so
+     * the client has most likely left.
      */
-    public static final Span MAX_READ_FAILURE = Span.ofMillis(50);
+    public static final Span MAX_UNREAD = Span.ofMillis(50);
 
     /** How long the process may be held up between a decision and its write. */
     private static final Span MAX_HOLD_UP = Span.ofMillis(150);
@@ -56,16 +57,26 @@
     }
 
     /**
-     * Whether the next request of a client's connection may be started.
+     * Whether the next request of a client's connection may be answered or begun.
      *
      * @param hasOpenRequest whether an earlier one is not answered
      * @param isClosing whether the connection is closed, or will be soon
      * @param isWritable whether the client reads its responses
      */
-    public boolean mayStart(boolean hasOpenRequest, boolean isClosing, boolean isWritable) {
+    public boolean mayAnswerNext(boolean hasOpenRequest, boolean isClosing, boolean isWritable) {
         return !hasOpenRequest && !isClosing && isWritable;
     }
 
+    /**
+     * Whether a request may be begun. Its client may have left already, which is noticed only once
+     * everything before the end of the connection has been read.
+     *
+     * @param isUnread whether the client's socket may hold bytes that were not read
+     */
+    public boolean mayBegin(boolean isUnread) {
+        return !isUnread;
+    }
+
     /**
      * Whether the router may close a client's connection of its own accord.
      *
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -68,6 +68,12 @@
     /** Whether the last read that the selector had told to make has found nothing. */
     private boolean wasLastReadEmpty;
 
+    /** Whether the selector has told of bytes, and a read has found none. */
+    private boolean isEmptinessDisputed;
+
+    /** Whether the last read has found that nothing is left to be read. */
+    private boolean isReadToEnd;
+
     /** When the socket was last known to hold no unread bytes while it may not be watched. */
     private Time lastPolledAt;
 
@@ -142,6 +148,7 @@
     @Override
     protected int doReadBytes(ByteBuf target) throws Exception {
         int count;
+        isReadToEnd = false;
         try {
             count = super.doReadBytes(target);
         } catch (SocketException | ClosedChannelException ended) {
@@ -158,6 +165,7 @@
             return nothingRead();
         }
         wasLastReadEmpty = false;
+        isEmptinessDisputed = false;
         reads.succeeded();
         if (count < 0) {
             pipeline().fireUserEventTriggered(ReadEvent.CLOSED);
@@ -173,12 +181,15 @@
      */
     private int nothingRead() throws IOException {
         if (isPolling) {
+            isReadToEnd = !isEmptinessDisputed;
             return 0;
         }
         if (wasLastReadEmpty) {
+            isEmptinessDisputed = true;
             return repeatRead(new IOException("readable, but there is nothing to read"));
         }
         wasLastReadEmpty = true;
+        isReadToEnd = true;
         return 0;
     }
 
@@ -255,9 +266,12 @@
         }
     }
 
-    /** Whether the last read has failed, so that it is not known what the other side does. */
-    public boolean isReadFailing() {
-        return reads.isFailing();
+    /**
+     * Whether everything that has arrived was read. If not, as reads fail or much has arrived, the
+     * other side may have ended the connection unnoticed.
+     */
+    public boolean isReadToEnd() {
+        return isReadToEnd;
     }
 
     /**
--- a/src/test/java/gladewing/serve/EndedClientTest.java
+++ b/src/test/java/gladewing/serve/EndedClientTest.java
@@ -176,6 +176,24 @@
         assertServes("sound");
     }
 
+    /**
+     * What does not fit behind an open request is refused, in its turn; nothing stays unanswered.
+     */
+    @Test
+    void answersAllOfAPipelineThatIsLongerThanWhatIsKept() throws Exception {
+        startWithNodes(5, "ok");
+        Client client = sendAtOnce(new Client(), "l", REQUESTS_AT_ONCE);
+        List<String> answers = new ArrayList<>();
+        for (int i = 0; i < REQUESTS_AT_ONCE; i++) {
+            answers.add(client.readResponse().split(" ")[0]);
+        }
+        assertEquals("200", answers.get(0));
+        assertEquals("200", answers.get(REQUESTS_AT_ONCE - 1));
+        assertTrue(answers.stream().allMatch(answer -> answer.matches("200|503")));
+        assertEquals(
+                "200", client.sendMultiget("report", "last", 0, 1).readResponse().split(" ")[0]);
+    }
+
     /** A client that reads none of its answers was not read any more either. */
     @Test
     void beginsNoPartForAClientThatReadsNoAnswersAndLeft() throws Exception {
