Answer a client that has closed its sending half alone before its connection ends

Callers saw their connection end with no answer when they shut down their sending side after a request. Cause: the end of the input counts as the client's leaving, rightly, as it can't be told from a close; but the connection was closed with nothing said, and responses of the same pass that were not flushed went with it. Now the open request gets 504, waiting ones 503, as far as the socket takes them at once, and nothing more is sent to data nodes, as for any client that left.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -320,11 +320,36 @@
         if (event instanceof ReadEvent read && read.isEnd()) {
             server.loop.enterPass();
             server.events.record(Event.CLIENT_ENDED, this, ending(read));
-            abandonMultiget();
+            boolean wasOpen = abandonMultiget();
+            if (read == ReadEvent.CLOSED && upgraded == null) {
+                answerBeforeEnd(wasOpen);
+            }
             requests.clear();
         }
     }
 
+    /**
+     * Ends everything with an answer, as far as the socket takes it at once: a client may have
+     * closed its sending half alone, and still be there to read.
+     *
+     * @param wasOpen whether a multiget was open
+     */
+    private void answerBeforeEnd(boolean wasOpen) {
+        if (isClosing) {
+            requests.clear();
+        }
+        isClosing = true;
+        requests.refuseComplete();
+        if (wasOpen) {
+            write(Responses.GIVEN_UP, "", "", !requests.hasRefusals());
+        }
+        while (requests.hasRefusals() && channel.isWritable()) {
+            requests.refusalAnswered();
+            write(Responses.UNAVAILABLE, "", "", !requests.hasRefusals());
+        }
+        channel.flush();
+    }
+
     /** Describes the end of the connection for the log of events. */
     private Object ending(ReadEvent read) {
         if (!server.events.isLogged()) {
@@ -342,15 +367,17 @@
                 + " bytes not written";
     }
 
-    /** Withdraws the open multiget, as its client has left. */
-    private void abandonMultiget() {
-        if (openMultiget != null) {
-            ClientMultiget abandoned = openMultiget;
-            openMultiget = null;
-            server.releaseId(abandoned.id);
-            server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
-            server.listener.clientDisconnected(abandoned);
+    /** Withdraws the open multiget, as its client has left; returns whether there was one. */
+    private boolean abandonMultiget() {
+        if (openMultiget == null) {
+            return false;
         }
+        ClientMultiget abandoned = openMultiget;
+        openMultiget = null;
+        server.releaseId(abandoned.id);
+        server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
+        server.listener.clientDisconnected(abandoned);
+        return true;
     }
 
     private void sendContinueIfExpected() {
@@ -388,15 +415,7 @@
             return;
         }
         isClosing = !keepAlive || isLastResponse();
-        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        ByteBuf out = channel.alloc().buffer(256 + bytes.length);
-        String head = Responses.head(status, headers, bytes.length, !isClosing);
-        out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-        out.writeBytes(bytes);
-        int length = out.readableBytes();
-        unwrittenBytes += length;
-        ChannelFuture written = channel.write(out);
-        written.addListener(done -> responseWritten(length));
+        ChannelFuture written = write(status, headers, body, isClosing);
         lastResponse = written;
         lastResponseAt = server.loop.enterPass();
         server.loop.flushAfterPass(channel);
@@ -408,6 +427,20 @@
         }
     }
 
+    /** Writes a response, which leaves when the channel is flushed. */
+    private ChannelFuture write(int status, String headers, String body, boolean closes) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        ByteBuf out = channel.alloc().buffer(256 + bytes.length);
+        String head = Responses.head(status, headers, bytes.length, !closes);
+        out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+        out.writeBytes(bytes);
+        int length = out.readableBytes();
+        unwrittenBytes += length;
+        ChannelFuture written = channel.write(out);
+        written.addListener(done -> responseWritten(length));
+        return written;
+    }
+
     /**
      * Whether the connection is closed after the next response. If that is due, what has been read
      * and can't be served any more is refused first.
--- a/src/main/java/gladewing/clients/ClientMultiget.java
+++ b/src/main/java/gladewing/clients/ClientMultiget.java
@@ -9,7 +9,6 @@
 /** A multiget of a client: its final result is sent as the response on the client's connection. */
 final class ClientMultiget extends AcceptedMultiget {
     private static final int OK = 200;
-    private static final int TIMED_OUT = 504;
 
     private final ClientConnection connection;
 
@@ -53,6 +52,6 @@
 
     @Override
     public void givenUp() {
-        connection.answer(this, TIMED_OUT, "", "");
+        connection.answer(this, Responses.GIVEN_UP, "", "");
     }
 }
--- a/src/main/java/gladewing/clients/Responses.java
+++ b/src/main/java/gladewing/clients/Responses.java
@@ -8,6 +8,7 @@
     static final int CONFLICT = 409;
     static final int TOO_MANY = 429;
     static final int UNAVAILABLE = 503;
+    static final int GIVEN_UP = 504;
     static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
     private Responses() {}
