Close connections of clients that read nothing of their responses for 2.4 s

A client that sent and never read kept its connection, its buffers and its descriptor without end: a connection with a response that is not written is never evicted, and one that was being closed waited for the write. Progress of the socket counts, so a slow reader stays.

Measured: closesTheConnectionOfAClientThatReadsNothing failed before (connected after 5 s) and passes; CLIENT_NOT_READING counts it.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -38,6 +38,9 @@
      */
     private static final Span REQUEST_READ_TIMEOUT = Span.ofMillis(2400);
 
+    /** How long a client may read nothing of its responses. */
+    private static final Span RESPONSE_READ_TIMEOUT = REQUEST_READ_TIMEOUT;
+
     /** A connection counts as new, and is the last to be closed for another, for this long. */
     private static final Span NEW_CONNECTION_PERIOD = Span.ofMillis(500);
 
@@ -549,10 +552,16 @@
 
     /**
      * Answers 408 and closes the connection if the client has not completed a request in time, even
-     * if it keeps sending single bytes. An idle connection between requests may stay.
+     * if it keeps sending single bytes; closes it with no answer if the client does not read. An
+     * idle connection between requests may stay.
      */
     void closeIfStalled(Time now) {
         if (openMultiget == null
+                && channel instanceof ResilientSocketChannel socket
+                && socket.writeStall(now).longerThan(RESPONSE_READ_TIMEOUT)) {
+            server.events.record(Event.CLIENT_NOT_READING, this, unwrittenBytes);
+            close();
+        } else if (openMultiget == null
                 && !isClosing
                 && requestDueSince != null
                 && now.since(requestDueSince).longerThan(REQUEST_READ_TIMEOUT)) {
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -24,6 +24,8 @@
     CLIENT_EVICTED,
     /** What a connection held was dropped, as all of them together held too much memory. */
     CLIENT_OVER_MEMORY,
+    /** A connection was closed, as its client has read nothing of its responses for long. */
+    CLIENT_NOT_READING,
     CLIENT_CLOSED_WHEN_DRAINING,
     CLIENT_CLOSED_ON_ERROR,
 
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -82,6 +82,9 @@
     /** Since when something that was written has not been taken by the socket; null for nothing. */
     private Time blockedSince;
 
+    /** When the socket has last taken something, or had nothing to take. */
+    private Time writeProgressAt;
+
     private Span maxWriteDelay = NO_LIMIT;
 
     /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
@@ -299,11 +302,19 @@
         if (blockedSince != null && now.since(blockedSince).longerThan(maxWriteDelay)) {
             throw new IOException("the socket has not taken in time what was written");
         }
+        long pendingBytes = pending.totalPendingWriteBytes();
+        if (writeProgressAt == null) {
+            writeProgressAt = now;
+        }
         try {
             super.doWrite(pending);
             writes.succeeded();
+            if (pending.totalPendingWriteBytes() < pendingBytes) {
+                writeProgressAt = now;
+            }
             if (pending.isEmpty()) {
                 blockedSince = null;
+                writeProgressAt = null;
             } else {
                 checkFlushLater(now);
             }
@@ -321,6 +332,11 @@
         }
     }
 
+    /** How long the socket has taken nothing of what is to be written; zero without any. */
+    public Span writeStall(Time now) {
+        return writeProgressAt == null ? Span.ZERO : now.since(writeProgressAt);
+    }
+
     private void checkFlushLater(Time now) {
         if (blockedSince == null) {
             blockedSince = now;
