Keep an id from running again while its parts may still run, or must not run twice

Cause: ids were free as soon as their request had its answer or its client had left; whether parts of it were still out, or had run, counted for nothing, and data nodes can't tell the two apart, as part ids are made of the id.

lifecycle.RequestIds decides now: an id is in use until its request has ended and no transmission is awaited; after that it may be used again unless a transmission ended in a way after which the part may still run (time-out, broken connection, withdrawal), or the product is once-only and anything of it may have run. A second use gets 409, as one of an open id did.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -4,6 +4,7 @@
 import gladewing.http.MessageReader;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryHolder;
+import gladewing.lifecycle.RequestIds;
 import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
@@ -237,7 +238,7 @@
                 page != null
                         ? RequestReader.READY
                         : isValid ? server.reader.read(message) : message.errorStatus();
-        if (status == 0 && server.reserveId(server.reader.id())) {
+        if (status == 0 && server.ids.begin(server.reader.id())) {
             startMultiget();
             return;
         }
@@ -247,6 +248,7 @@
             requests.dropRest();
         }
         if (status == 0) {
+            server.events.record(Event.REQUEST_ID_REPEATED, server.reader.id(), this);
             rejectAndClose(Responses.CONFLICT);
         } else if (page != null) {
             respond(status, "", page);
@@ -270,7 +272,7 @@
         RoutingDecision decision = server.route(timeLeft);
         requests.startNext();
         if (decision != null && decision.isDismissed()) {
-            server.releaseId(reader.id());
+            server.ids.refused(reader.id());
             respond(
                     Responses.TOO_MANY,
                     Responses.retryAfter(new Span(decision.retryAfterMicros())),
@@ -278,14 +280,14 @@
             return;
         }
         if (!server.listener.mayAccept(reader.textSize())) {
-            server.releaseId(reader.id());
+            server.ids.refused(reader.id());
             respond(Responses.UNAVAILABLE, "", "");
             return;
         }
         int product =
                 decision == null ? reader.product() : decision.servedProduct(reader.product());
         if (server.isProductClosed(product)) {
-            server.releaseId(reader.id());
+            server.ids.refused(reader.id());
             respond(Responses.UNAVAILABLE, "", "");
             return;
         }
@@ -393,7 +395,6 @@
         }
         ClientMultiget abandoned = openMultiget;
         openMultiget = null;
-        server.releaseId(abandoned.id);
         server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
         server.listener.clientDisconnected(abandoned);
         return true;
@@ -407,6 +408,16 @@
         }
     }
 
+    /** Decides what becomes of the id of a multiget of which nothing is awaited any more. */
+    void multigetSettled(ClientMultiget multiget) {
+        server.ids.ended(
+                multiget.id,
+                server.reader.catalog().isRepeatable(multiget.product),
+                multiget.mayStillRun()
+                        ? RequestIds.Trace.MAY_RUN
+                        : multiget.mayHaveRun() ? RequestIds.Trace.RUN : RequestIds.Trace.NOT_RUN);
+    }
+
     /** Sends the final answer to a multiget, unless it has had one. */
     void answer(ClientMultiget multiget, int status, String headers, String body) {
         boolean isOpen = multiget == openMultiget;
@@ -425,7 +436,6 @@
         boolean wasOpen = openMultiget != null;
         if (wasOpen) {
             server.events.record(Event.REQUEST_ANSWERED, openMultiget.id, status);
-            server.releaseId(openMultiget.id);
             openMultiget = null;
         } else {
             server.events.record(Event.REQUEST_REFUSED, this, status);
--- a/src/main/java/gladewing/clients/ClientMultiget.java
+++ b/src/main/java/gladewing/clients/ClientMultiget.java
@@ -26,6 +26,11 @@
         this.connection = connection;
     }
 
+    @Override
+    public void settled() {
+        connection.multigetSettled(this);
+    }
+
     @Override
     public void answered(boolean whole) {
         StringBuilder body = new StringBuilder(64 + 48 * parts.size());
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -5,6 +5,7 @@
 import gladewing.http.MessageReader;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryLimit;
+import gladewing.lifecycle.RequestIds;
 import gladewing.loop.Loop;
 import gladewing.router.RetryPolicy;
 import gladewing.router.Span;
@@ -19,7 +20,6 @@
 import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -52,8 +52,8 @@
     private final IntSupplier maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
-    /** Ids of the multigets that are open. */
-    private final Set<String> openIds = new HashSet<>();
+    /** Under which ids requests may begin. */
+    final RequestIds ids;
 
     /** Null without routes, so that no class of the routes package is loaded. */
     private RouteLookup routes;
@@ -101,7 +101,9 @@
             MemoryLimit memory,
             MultigetListener listener,
             RouterEvents events,
-            LifecycleRules rules) {
+            LifecycleRules rules,
+            RequestIds ids) {
+        this.ids = ids;
         this.loop = loop;
         this.events = events;
         this.rules = rules;
@@ -306,18 +308,6 @@
         return connections.isEmpty() && upgraded.isEmpty();
     }
 
-    /**
-     * Returns false if another open multiget has this id. The ids of parts are made from it, so the
-     * answers of the two could not be told apart.
-     */
-    boolean reserveId(String id) {
-        return openIds.add(id);
-    }
-
-    void releaseId(String id) {
-        openIds.remove(id);
-    }
-
     /**
      * Adds a connection. When the limit is reached, another one that serves no request is closed;
      * if there is none, no connection is accepted until one is closed.
--- a/src/main/java/gladewing/clients/ServedCatalog.java
+++ b/src/main/java/gladewing/clients/ServedCatalog.java
@@ -1,5 +1,6 @@
 package gladewing.clients;
 
+import gladewing.router.Settings;
 import java.util.List;
 
 /**
@@ -7,7 +8,17 @@
  * behind the request reader.
  *
  * @param products names of the products that are served
+ * @param effects what running a part of each product twice does
  * @param tenants names of the tenants that are known
  * @param shardCount shards are numbered from 0 to one less than this
  */
-public record ServedCatalog(List<String> products, List<String> tenants, int shardCount) {}
+public record ServedCatalog(
+        List<String> products,
+        List<Settings.Effect> effects,
+        List<String> tenants,
+        int shardCount) {
+    /** Whether parts of a product may run again. */
+    boolean isRepeatable(int product) {
+        return effects.get(product) == Settings.Effect.REPEATABLE;
+    }
+}
--- a/src/main/java/gladewing/decisions/AcceptedMultiget.java
+++ b/src/main/java/gladewing/decisions/AcceptedMultiget.java
@@ -49,6 +49,9 @@
     /** Transmissions that have not ended. */
     int inFlight;
 
+    private boolean mayHaveRun;
+    private boolean mayStillRun;
+
     protected AcceptedMultiget(
             String id,
             int product,
@@ -127,6 +130,25 @@
         return hasEnded;
     }
 
+    /** Records how one of its transmissions has ended. */
+    final void recordEnd(CallResult result) {
+        mayHaveRun |= result.mayHaveRun();
+        mayStillRun |= result.mayStillRun();
+    }
+
+    /** Whether a data node may have run a part of it, by the transmissions that have ended. */
+    public final boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** Whether a data node may still run a part of it, although its transmission has ended. */
+    public final boolean mayStillRun() {
+        return mayStillRun;
+    }
+
+    /** Called once: the multiget has ended, and so have all of its transmissions. */
+    public void settled() {}
+
     /** Called last: the multiget is answered with the values that have arrived. */
     public abstract void answered(boolean isWhole);
 
--- a/src/main/java/gladewing/decisions/CallResult.java
+++ b/src/main/java/gladewing/decisions/CallResult.java
@@ -25,4 +25,20 @@
     CallResult(TransmissionOutcome outcome) {
         this.outcome = outcome;
     }
+
+    /** Whether the node may have run the part. */
+    boolean mayHaveRun() {
+        return switch (this) {
+            case BUSY, NOT_WRITTEN, NOT_SENT -> false;
+            default -> true;
+        };
+    }
+
+    /** Whether the node may run the part now or later. */
+    boolean mayStillRun() {
+        return switch (this) {
+            case TIMED_OUT, BROKEN, WITHDRAWN -> true;
+            default -> false;
+        };
+    }
 }
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -95,6 +95,7 @@
             transmission.multiget.recordValue(transmission.part, value);
         }
         transmission.multiget.inFlight--;
+        transmission.multiget.recordEnd(result);
         transmission.multiget.handle.transmissionEnded(
                 transmission.part, transmission.number, result.outcome, took, load);
         nodes.release(transmission.nodeIndex);
@@ -222,6 +223,7 @@
                 && multigets.get(multiget.ref) == multiget) {
             multigets.set(multiget.ref, null);
             transmissions.get(multiget.ref).clear();
+            multiget.settled();
         }
     }
 
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -8,6 +8,8 @@
     REQUEST_ANSWERED,
     /** A request was turned down before it reached the module. */
     REQUEST_REFUSED,
+    /** A request was refused, as its id is in use or must not run again. */
+    REQUEST_ID_REPEATED,
     /** A request was refused, as its client has sent more ahead than is kept. */
     REQUEST_SENT_AHEAD,
     /** A multiget was refused, as the open ones together held too much memory. */
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -18,6 +18,7 @@
 import gladewing.events.RouterEvents;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryLimit;
+import gladewing.lifecycle.RequestIds;
 import gladewing.loop.Loop;
 import gladewing.nodes.Connector;
 import gladewing.nodes.NodeClient;
@@ -134,7 +135,13 @@
                 new NodeListApplier(
                         nodeClient, System.currentTimeMillis() * 1000 - Loop.readClock().micros());
         ServedCatalog catalog =
-                new ServedCatalog(config.products(), config.tenants(), config.shards());
+                new ServedCatalog(
+                        config.products(),
+                        config.settings().products().stream()
+                                .map(Settings.Product::effect)
+                                .toList(),
+                        config.tenants(),
+                        config.shards());
         multigetMemory =
                 new MultigetMemory(new MemoryLimit(memory.multigets()), this::maxClientConnections);
         httpServer =
@@ -145,7 +152,8 @@
                         new MemoryLimit(memory.clientConnections()),
                         this,
                         events,
-                        rules);
+                        rules,
+                        new RequestIds(config.seed()));
         discoveryWatcher =
                 new DiscoveryWatcher(
                         loop,
--- a/src/test/java/gladewing/clients/RequestReaderTest.java
+++ b/src/test/java/gladewing/clients/RequestReaderTest.java
@@ -5,6 +5,7 @@
 import gladewing.buffer.ConnectionBuffer;
 import gladewing.decisions.AcceptedMultiget;
 import gladewing.http.MessageReader;
+import gladewing.router.Settings;
 import gladewing.router.Span;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -20,7 +21,11 @@
                         + "\"q\":\"z\\u00e9\"}";
         RequestReader reader =
                 new RequestReader(
-                        new ServedCatalog(List.of("report", "sheet"), List.of("x", "y"), 4));
+                        new ServedCatalog(
+                                List.of("report", "sheet"),
+                                List.of(Settings.Effect.REPEATABLE, Settings.Effect.REPEATABLE),
+                                List.of("x", "y"),
+                                4));
         ConnectionBuffer in = new ConnectionBuffer(1000);
         in.append(
                 Unpooled.copiedBuffer(
