Bound what clients' connections may read and have answered in one pass of the loop

Causes, each seen in stacks of the loop's thread or by taking one out: a connection was read up to 16 times 64 KB in a pass, and all that was buffered was answered at once, in passes of its own whenever the client had read; 16 connections were accepted in a pass, so a new one waited for 20 long passes behind a crowd; the size of a chunk was parsed by a stream.

lifecycle.ReadAllowance: 128 KB of a connection in a turn (more than any request), 16 KB if it had more in its last turn, 4 KB and 1 KB once the pass has lasted 10 ms. 64 requests of a connection are begun or answered in a row, then others have their turn. 128 connections are accepted in a pass.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -4,6 +4,7 @@
 import gladewing.http.MessageReader;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryHolder;
+import gladewing.lifecycle.ReadAllowance;
 import gladewing.lifecycle.RequestIds;
 import gladewing.loop.Timer;
 import gladewing.router.Span;
@@ -42,6 +43,12 @@
     /** How long a client may read nothing of its responses. */
     private static final Span RESPONSE_READ_TIMEOUT = REQUEST_READ_TIMEOUT;
 
+    /** How many requests of a connection are answered or begun in a row. */
+    private static final int MAX_REQUESTS_PER_TURN = 64;
+
+    /** How soon a connection goes on with what it could not begin in its turn. */
+    private static final Span TURN_INTERVAL = Span.ofMillis(1);
+
     /** A connection counts as new, and is the last to be closed for another, for this long. */
     private static final Span NEW_CONNECTION_PERIOD = Span.ofMillis(500);
 
@@ -86,6 +93,9 @@
      */
     private Time requestDueSince;
 
+    /** Goes on with requests that wait; null if that is not scheduled. */
+    private Timer nextTurn;
+
     /** Gives up what is open if the socket is not read to its end; null while it is. */
     private Timer unreadTimer;
 
@@ -101,6 +111,10 @@
         lastReadAt = server.loop.enterPass();
         requestDueSince = lastReadAt;
         server.events.record(Event.CLIENT_CONNECTED, this, "");
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.setReadLimiter(
+                    wasExceeded -> ReadAllowance.bytes(server.loop.passDuration(), wasExceeded));
+        }
         server.connectionOpened(this);
     }
 
@@ -173,7 +187,9 @@
         if (isClosing) {
             return;
         }
-        requests.refuseComplete();
+        if (channel instanceof ResilientSocketChannel socket && socket.isReadFailing()) {
+            requests.refuseComplete();
+        }
         if (openMultiget != null) {
             ClientMultiget unknown = openMultiget;
             server.events.record(Event.REQUEST_ABANDONED, unknown.id, "the socket can't be read");
@@ -197,9 +213,27 @@
         countMemory();
     }
 
+    /** Goes on with the requests that wait, once other connections have had their turn. */
+    private void processRequestsLater() {
+        if (nextTurn == null) {
+            nextTurn =
+                    server.loop.schedule(
+                            TURN_INTERVAL,
+                            () -> {
+                                nextTurn = null;
+                                processRequests();
+                            });
+        }
+    }
+
     private void startRequests() {
+        int started = 0;
         // Nothing is answered or begun while the client does not read its responses.
         while (server.rules.mayAnswerNext(openMultiget != null, isClosing, channel.isWritable())) {
+            if (started++ == MAX_REQUESTS_PER_TURN) {
+                processRequestsLater();
+                return;
+            }
             if (requests.hasRefusals()) {
                 requests.refusalAnswered();
                 server.events.record(Event.REQUEST_SENT_AHEAD, this, requests.refusals());
@@ -328,7 +362,7 @@
         if (upgraded != null) {
             upgraded.writabilityChanged(channel.isWritable());
         } else {
-            server.loop.runInLaterPass(this::processRequests);
+            processRequestsLater();
         }
     }
 
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -317,12 +317,10 @@
         }
         int end = line.indexOf(';');
         String digits = (end < 0 ? line : line.substring(0, end)).strip();
-        if (digits.isEmpty()
-                || digits.length() > 8
-                || !digits.chars().allMatch(c -> Character.digit(c, 16) >= 0)) {
+        long size = hexNumber(digits);
+        if (size < 0) {
             return invalid(BAD_REQUEST);
         }
-        long size = Long.parseLong(digits, 16);
         if (chunkBytes + size > maxBodyBytes) {
             return invalid(BODY_TOO_LARGE);
         }
@@ -332,6 +330,22 @@
         return true;
     }
 
+    /** Returns the number that 1 to 8 hexadecimal digits stand for; negative if it is none. */
+    private static long hexNumber(String digits) {
+        if (digits.isEmpty() || digits.length() > 8) {
+            return -1;
+        }
+        long number = 0;
+        for (int i = 0; i < digits.length(); i++) {
+            int digit = Character.digit(digits.charAt(i), 16);
+            if (digit < 0) {
+                return -1;
+            }
+            number = 16 * number + digit;
+        }
+        return number;
+    }
+
     private boolean readChunk(ConnectionBuffer in) {
         int take = Math.min(remaining, in.size());
         if (take == 0) {
--- a/src/main/java/gladewing/loop/Loop.java
+++ b/src/main/java/gladewing/loop/Loop.java
@@ -81,6 +81,12 @@
         return now;
     }
 
+    /** Returns for how long the current pass has lasted; begins one if none is going on. */
+    public Span passDuration() {
+        Time began = enterPass();
+        return readClock().since(began);
+    }
+
     private void endPass() {
         // Timers run after the events, so that an answer that arrived in time does not time out
         // because this program was stalled.
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -39,6 +39,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.logging.Logger;
@@ -58,6 +59,14 @@
      */
     private static final int RESERVED_DESCRIPTORS = 64;
 
+    /** How many connections may wait to be accepted. */
+    private static final int LISTEN_BACKLOG = 512;
+
+    /**
+     * A connection behind a full backlog is accepted within a few passes, however long they are.
+     */
+    private static final int MAX_ACCEPTED_PER_PASS = 128;
+
     /** How long the router waits for the first list of discovery if it already knows nodes. */
     private static final Span FIRST_LIST_WAIT = Span.ofMillis(1000);
 
@@ -240,7 +249,11 @@
                         .group(thread)
                         .channelFactory(ResilientServerSocketChannel::new)
                         .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.SO_BACKLOG, 512)
+                        .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new ServerChannelRecvByteBufAllocator()
+                                        .maxMessagesPerRead(MAX_ACCEPTED_PER_PASS))
                         .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false)),
                 config.listen());
     }
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -45,6 +45,16 @@
 
     private static final Span NO_LIMIT = new Span(Long.MAX_VALUE);
 
+    /** Decides how much of a socket is read before others have their turn. */
+    public interface ReadLimiter {
+        /**
+         * Returns how many bytes may be read in the turn that begins; the rest is read later.
+         *
+         * @param wasExceeded whether there was more than that in the last turn
+         */
+        int maxBytes(boolean wasExceeded);
+    }
+
     private final FailureSeries reads = new FailureSeries(POLICY);
     private final FailureSeries writes = new FailureSeries(POLICY);
 
@@ -87,6 +97,14 @@
 
     private Span maxWriteDelay = NO_LIMIT;
 
+    private ReadLimiter readLimiter = wasExceeded -> Integer.MAX_VALUE;
+
+    /** What may still be read in this turn; negative before its first read. */
+    private int remainingAllowance = -1;
+
+    /** Whether the last turn ended with the allowance. */
+    private boolean wasAllowanceExceeded;
+
     /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
     private boolean needsNoDelay;
 
@@ -136,8 +154,14 @@
         maxWriteDelay = delay;
     }
 
+    /** Sets what decides how much is read in a turn. There is no limit at first. */
+    public void setReadLimiter(ReadLimiter limiter) {
+        readLimiter = limiter;
+    }
+
     @Override
     protected void doBeginRead() throws Exception {
+        remainingAllowance = -1;
         if (isReadPaused) {
             return;
         }
@@ -151,10 +175,18 @@
 
     @Override
     protected int doReadBytes(ByteBuf target) throws Exception {
-        int count;
         isReadToEnd = false;
+        if (remainingAllowance < 0) {
+            remainingAllowance = readLimiter.maxBytes(wasAllowanceExceeded);
+        }
+        wasAllowanceExceeded = remainingAllowance == 0;
+        if (wasAllowanceExceeded) {
+            return 0;
+        }
+        int count;
         try {
-            count = super.doReadBytes(target);
+            count = readSocket(target);
+            remainingAllowance -= Math.max(0, count);
         } catch (SocketException | ClosedChannelException ended) {
             // The JDK tells a reset by the other side from all other failures by its type.
             pipeline().fireUserEventTriggered(ReadEvent.RESET);
@@ -179,13 +211,22 @@
         return count;
     }
 
+    private int readSocket(ByteBuf target) throws IOException {
+        int wanted = Math.min(target.writableBytes(), remainingAllowance);
+        unsafe().recvBufAllocHandle().attemptedBytesRead(wanted);
+        return target.writeBytes(javaChannel(), wanted);
+    }
+
     /**
      * Takes it for a failure if the selector tells of bytes twice in a row and there are none; the
      * first time, they have just been read.
      */
     private int nothingRead() throws IOException {
         if (isPolling) {
-            isReadToEnd = !isEmptinessDisputed;
+            if (!isEmptinessDisputed) {
+                isReadToEnd = true;
+                reads.succeeded();
+            }
             return 0;
         }
         if (wasLastReadEmpty) {
@@ -265,6 +306,7 @@
     private void poll() {
         isPolling = true;
         hasPollFoundBytes = false;
+        remainingAllowance = -1;
         unsafe().read();
         isPolling = false;
     }
@@ -275,6 +317,11 @@
         }
     }
 
+    /** Whether the last read has failed, so that it is not known what the other side does. */
+    public boolean isReadFailing() {
+        return reads.isFailing();
+    }
+
     /**
      * Whether everything that has arrived was read. If not, as reads fail or much has arrived, the
      * other side may have ended the connection unnoticed.
--- a/src/test/java/gladewing/serve/RudeClientTest.java
+++ b/src/test/java/gladewing/serve/RudeClientTest.java
@@ -32,6 +32,7 @@
     private static final int QUOTED_MILLIS = 1000;
 
     private static final int FLOOD_MILLIS = 3000;
+    private static final int FLOODING_CLIENTS = 200;
     private static final int SOUND_INTERVAL_MILLIS = 20;
 
     /** The limit of a router's memory in the settings of the examples and of the tests. */
@@ -219,7 +220,7 @@
     void servesOthersBesideManyClientsThatSendAtFullSpeed(Flood kind, boolean readsAnswers)
             throws Exception {
         startWithNodes();
-        for (int i = 0; i < 100; i++) {
+        for (int i = 0; i < FLOODING_CLIENTS; i++) {
             flood(i, kind, readsAnswers);
         }
         assertHolds(askWhileFlooding("s"));
