Look for the ends of clients' connections again before a long pass sends

The close was in the socket before the parts were sent, but is read in the next pass. A pass that has lasted more than 30 ms reads the sockets of all clients with open multigets again before it decides what to send; PASS_LONG counts them.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -587,6 +587,13 @@
         respond(status, "", "");
     }
 
+    /** Reads the socket again if a multiget is open, as its client may have left meanwhile. */
+    void readAgainIfOpen() {
+        if (openMultiget != null && channel instanceof ResilientSocketChannel socket) {
+            socket.readNow();
+        }
+    }
+
     /** Reads the socket if the selector may not watch it. */
     void pollIfUnwatched() {
         if (channel instanceof ResilientSocketChannel socket) {
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -227,6 +227,11 @@
         limitMemory();
     }
 
+    /** Looks for the ends of connections with open multigets once more, in a pass that was long. */
+    public void readOpenConnectionsAgain() {
+        new ArrayList<>(connections).forEach(ClientConnection::readAgainIfOpen);
+    }
+
     /** Lets connections give way while they hold more memory together than they may. */
     void limitMemory() {
         if (memory.enforce(connections) > 0 && !memoryLimitLogged) {
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -42,6 +42,9 @@
     TRANSMISSION_SENT,
     TRANSMISSION_ENDED,
 
+    /** A pass was so long that clients' connections were read again before anything was sent. */
+    PASS_LONG,
+
     /** A rule of {@code gladewing.lifecycle.LifecycleRules} was broken. */
     RULE_VIOLATED,
 
--- a/src/main/java/gladewing/lifecycle/LifecycleRules.java
+++ b/src/main/java/gladewing/lifecycle/LifecycleRules.java
@@ -22,6 +22,12 @@
      */
     public static final Span MAX_UNREAD = Span.ofMillis(50);
 
+    /**
+     * How long before parts are sent the ends of all clients' connections may have been looked for.
+     * A pass lasts longer only if the process is held up or overloaded.
+     */
+    private static final Span MAX_UNSEEN = Span.ofMillis(30);
+
     /**
      * How often the socket of a client whose multiget is open is read where the selector may not
      * watch it. Half of the 0.1 s after which nothing may begin for a client that has left.
@@ -93,6 +99,16 @@
         return !hasOpenRequest && !isResponding;
     }
 
+    /**
+     * Whether the sockets of clients with open multigets are to be read again before anything is
+     * sent.
+     *
+     * @param sincePassBegan since when they may have been read
+     */
+    public boolean mustReadAgain(Span sincePassBegan) {
+        return sincePassBegan.longerThan(MAX_UNSEEN);
+    }
+
     /**
      * Checks a frame that its socket has taken as a whole.
      *
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -363,6 +363,10 @@
 
     @Override
     public void passEnded() {
+        if (rules.mustReadAgain(loop.passDuration())) {
+            events.record(Event.PASS_LONG, loop.passDuration(), "");
+            httpServer.readOpenConnectionsAgain();
+        }
         carryOut(decisions.endTurn());
     }
 
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -289,6 +289,13 @@
         lastPolledAt = Loop.readClock();
     }
 
+    /** Reads the socket now, unless reading pauses; the selector need not have told of anything. */
+    public void readNow() {
+        if (isActive() && !isReadPaused) {
+            poll();
+        }
+    }
+
     /** Whether it is known that the selector watches the socket for bytes. */
     public boolean isWatched() {
         Selector selector = selectionKeyInUse().selector();
