Write what waits for a connection to a data node only once the pass has ended

What waits is written in a pass of its own now, after all sockets that were ready have been read.

Measured: sendsNothingForAClientThatLeftWhenTheConnectionForItCameUp failed before (the part's frame arrived) and passes; NodeClientTest, ServeTest, AttemptsServeTest pass with their traces unchanged.

--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -321,10 +321,16 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        client.loop.enterPass();
-        isUp = true;
-        writesOnceUp.forEach(Runnable::run);
-        writesOnceUp.clear();
+        // Not before the pass has ended: it may still read that clients of what waits have left.
+        client.loop.runInLaterPass(this::writeWaiting);
+    }
+
+    private void writeWaiting() {
+        if (!isClosed) {
+            isUp = true;
+            writesOnceUp.forEach(Runnable::run);
+            writesOnceUp.clear();
+        }
     }
 
     @Override
--- a/src/test/java/gladewing/serve/HeldUpPassTest.java
+++ b/src/test/java/gladewing/serve/HeldUpPassTest.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -42,13 +43,14 @@
     @AfterEach
     void stop() throws Exception {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-        node.close();
+        if (node != null) {
+            node.close();
+        }
     }
 
-    private RouterRuntime startRuntime() throws Exception {
-        node = new ServeTestHarness.FakeDataNode();
+    private RouterRuntime startRuntime(String nodeEndpoint) throws Exception {
         ServeTestHarness.FakeDiscovery discovery = new ServeTestHarness.FakeDiscovery();
-        String known = ServeTestHarness.target("a", node.endpoint(), 0, "up");
+        String known = ServeTestHarness.target("a", nodeEndpoint, 0, "up");
         try (ServerSocket free = new ServerSocket(0, 1, ServeTestHarness.LOOPBACK)) {
             port = free.getLocalPort();
         }
@@ -56,6 +58,7 @@
         Files.writeString(
                 file,
                 Trace.expected("serve-config.json")
+                        .replace("\"ConnectTimeout\":250.0", "\"ConnectTimeout\":2500.0")
                         .replace("LISTEN", "127.0.0.1:" + port)
                         .replace("DISCOVERY", "127.0.0.1:" + discovery.listener.getLocalPort())
                         .replace(
@@ -98,7 +101,8 @@
 
     @Test
     void sendsNothingForAClientThatLeftWhileThePassWasHeldUp() throws Exception {
-        RouterRuntime runtime = startRuntime();
+        node = new ServeTestHarness.FakeDataNode();
+        RouterRuntime runtime = startRuntime(node.endpoint());
         Socket first = connect();
         first.getOutputStream().write(request("first"));
         node.nextFrame().answer("first.0", "ok", "zero");
@@ -127,6 +131,41 @@
         first.close();
     }
 
+    /**
+     * A part waits for its connection, which comes up just before its client leaves, and both are
+     * read in one pass.
+     */
+    @Test
+    void sendsNothingForAClientThatLeftWhenTheConnectionForItCameUp() throws Exception {
+        // The system drops what is sent to connect while the backlog is full, and repeats it after
+        // a second.
+        try (ServerSocket listener = new ServerSocket(0, 1, ServeTestHarness.LOOPBACK)) {
+            startRuntime("127.0.0.1:" + listener.getLocalPort());
+            for (int i = 0; i < 2; i++) {
+                new Socket(ServeTestHarness.LOOPBACK, listener.getLocalPort());
+            }
+            Socket leaving = connect();
+            leaving.getOutputStream().write(request("left"));
+            Thread.sleep(300);
+            listener.accept();
+            listener.accept();
+            thread.execute(() -> sleep(1200));
+            Socket toNode = listener.accept();
+            leaving.close();
+            toNode.setSoTimeout(2500);
+            assertEquals(-1, firstByte(toNode));
+        }
+    }
+
+    /** The first byte that arrives; -1 if there is none in time. */
+    private static int firstByte(Socket socket) throws Exception {
+        try {
+            return socket.getInputStream().read();
+        } catch (SocketTimeoutException none) {
+            return -1;
+        }
+    }
+
     private static void sleep(int millis) {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
     }
