--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -249,6 +249,9 @@
                 return;
             }
             startNextRequest(progress == MessageReader.Progress.MESSAGE);
+            if (upgraded != null) {
+                return;
+            }
         }
     }
 
