Send no pongs to clients of sessions that do not read, and end such sessions

Pongs are left out now while the channel is not writable, as RFC 6455 allows, for data nodes too. A client that reads nothing for the time of silence ends its session: until then its nodes are not read either, so that their end is not seen; it stayed without end as long as it sent something.

--- a/src/main/java/gladewing/sessionsockets/ClientSocket.java
+++ b/src/main/java/gladewing/sessionsockets/ClientSocket.java
@@ -10,6 +10,7 @@
 import gladewing.sessionpolicy.MessageTracker;
 import gladewing.sessionpolicy.Session;
 import gladewing.sessionpolicy.UpstreamConnection;
+import gladewing.sockets.ResilientSocketChannel;
 import gladewing.websocket.CloseCode;
 import gladewing.websocket.FrameEncoder;
 import gladewing.websocket.Handshake;
@@ -162,8 +163,11 @@
                     closeSession(CloseCode.UNSUPPORTED_DATA, "messages are texts");
                     break;
                 case PING:
-                    SessionMessages.write(
-                            server.loop, channel, FrameEncoder.pong(decoder.payload(), null));
+                    // RFC 6455 lets pings be passed over for a later one.
+                    if (channel.isWritable()) {
+                        SessionMessages.write(
+                                server.loop, channel, FrameEncoder.pong(decoder.payload(), null));
+                    }
                     break;
                 case CLOSE:
                     handleClose();
@@ -264,11 +268,14 @@
     }
 
     /**
-     * Closes the connection if the client sends nothing, answers no ping, or does not complete the
-     * close handshake.
+     * Closes the connection if the client sends or reads nothing, answers no ping, or does not
+     * complete the close handshake.
      */
     void checkTimeouts(long now) {
         long idle = now - lastReceivedAt;
+        if (state == State.OPEN && isNotRead()) {
+            closeSession(CloseCode.POLICY_VIOLATION, "nothing was read");
+        }
         if (state == State.OPEN && idle >= server.settings.idleTimeout()) {
             closeSession(CloseCode.POLICY_VIOLATION, "nothing was heard");
         } else if (state == State.OPEN
@@ -283,6 +290,13 @@
         }
     }
 
+    /** Whether the client reads nothing of what it is sent. Its nodes are not read either then. */
+    private boolean isNotRead() {
+        Span silence = new Span(server.settings.idleTimeout());
+        return channel instanceof ResilientSocketChannel socket
+                && socket.writeStall(server.loop.enterPass()).longerThan(silence);
+    }
+
     @Override
     public void connectionClosed() {
         state = State.CLOSED;
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -159,7 +159,7 @@
             case TEXT -> handleMessage();
             case PING -> {
                 // Nothing may be sent after a close frame, not even a pong.
-                if (state == State.OPEN && maySend()) {
+                if (state == State.OPEN && isWritable()) {
                     write(
                             FrameEncoder.pong(
                                     decoder.payload(), SessionMessages.maskingKey(server.random)));
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -372,4 +373,45 @@
                         + "[live] legs: 10, wanted: no less than sessions, 4000\n",
                 output);
     }
+
+    /**
+     * A client of a session sends pings at full speed and reads nothing. Guards against pongs that
+     * use up the heap, and against a session that stays without end.
+     */
+    @Test
+    void pingsOfAClientThatReadsNothingDoNotUseUpTheHeap() throws Exception {
+        startWithSessions("silence = 3s\n");
+        Client rude = new Client();
+        rude.send(
+                "GET /sheet/live?shards=0 HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+                        + "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                        + "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+        assertEquals('H', rude.socket.getInputStream().read());
+        byte[] ping = new byte[6 + 125];
+        ping[0] = (byte) 0x89;
+        ping[1] = (byte) (0x80 | 125);
+        byte[] pings = new byte[500 * ping.length];
+        for (int i = 0; i < 500; i++) {
+            System.arraycopy(ping, 0, pings, i * ping.length, ping.length);
+        }
+        AtomicBoolean isClosed = new AtomicBoolean();
+        startDaemon(
+                () -> {
+                    try {
+                        while (true) {
+                            rude.socket.getOutputStream().write(pings);
+                        }
+                    } finally {
+                        isClosed.set(true);
+                    }
+                });
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!isClosed.get() && System.nanoTime() < deadline) {
+            Thread.sleep(100);
+        }
+        assertTrue(process.isAlive(), log.toString());
+        assertTrue(log.stream().noneMatch(line -> line.contains("OutOfMemory")), log.toString());
+        assertTrue(isClosed.get(), "the session of a client that reads nothing stays");
+        assertEquals("101", handshakeStatus(() -> new SessionClient("/sheet/live?shards=0")));
+    }
 }
