--- a/src/test/java/gladewing/soak/SoakRequest.java
+++ b/src/test/java/gladewing/soak/SoakRequest.java
@@ -1,5 +1,6 @@
 package gladewing.soak;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -27,6 +28,10 @@
     final String product;
     final int shards;
     final int timeoutMillis;
+
+    /** How often it was sent under its id. */
+    int uses = 1;
+
     long sentAt;
     long endedAt;
     End end;
@@ -41,6 +46,32 @@
         this.timeoutMillis = timeoutMillis;
     }
 
+    /** The request as it is sent. */
+    byte[] bytes() {
+        StringBuilder parts = new StringBuilder();
+        for (int shard = 0; shard < shards; shard++) {
+            parts.append(shard == 0 ? "" : ",")
+                    .append("{\"shard\":")
+                    .append(shard)
+                    .append(",\"weight\":")
+                    .append(1.0 / shards)
+                    .append('}');
+        }
+        String content = "{\"shards\":[" + parts + "],\"q\":\"c4\"}";
+        String text =
+                "POST /"
+                        + product
+                        + " HTTP/1.1\r\nX-Request-ID: "
+                        + id
+                        + "\r\nX-Timeout-Ms: "
+                        + timeoutMillis
+                        + "\r\nContent-Length: "
+                        + content.length()
+                        + "\r\n\r\n"
+                        + content;
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     void ended(End how) {
         endedAt = System.nanoTime();
         end = how;
--- a/src/test/java/gladewing/soak/SoakRun.java
+++ b/src/test/java/gladewing/soak/SoakRun.java
@@ -33,6 +33,7 @@
     private static final long WARM_UP_MILLIS = 2000;
 
     private static final int CLIENTS_PER_ROUTER = 8;
+    private static final int RUDE_CLIENTS_PER_ROUTER = 2;
     private static final int CROWD = 150;
 
     private record Fault(SyscallFaults.Call call, SyscallFaults.Error error) {}
@@ -150,6 +151,17 @@
                                 () -> isLoaded,
                                 router::isInFront));
             }
+            for (int i = 0; i < RUDE_CLIENTS_PER_ROUTER; i++) {
+                threads.execute(
+                        new SoakRudeClient(
+                                "rude" + router.index + "x" + i,
+                                router.index,
+                                router.port,
+                                random.nextLong(),
+                                requests,
+                                () -> isLoaded,
+                                router::isInFront));
+            }
         }
     }
 
