Split the connection of a client: responses, the watch for its end, admission

ResponseWriter writes responses and knows what is not written, EndWatch sees to it that the end of the connection is noticed, RequestAdmission turns requests away by routes, memory and closed products, and takes three fields and their methods out of HttpServer as well. One change of behaviour: requests that are answered at once no longer put a task each in the loop's queue, which let a connection go on beyond its turn.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -2,23 +2,18 @@
 
 import gladewing.events.Event;
 import gladewing.http.MessageReader;
-import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryHolder;
 import gladewing.lifecycle.ReadAllowance;
 import gladewing.lifecycle.RequestIds;
-import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
-import gladewing.routes.RoutingDecision;
 import gladewing.sockets.ReadEvent;
 import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.logging.Level;
@@ -31,9 +26,6 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
 
-    /** How long a connection that is closed for writing stays open for reading. */
-    private static final Span LINGER = Span.ofMillis(1000);
-
     /**
      * How long a request may take to arrive. Clients send a request all at once, so one that is
      * still incomplete after this time will not be completed.
@@ -78,11 +70,7 @@
     private boolean isDiscarding;
 
     private boolean continueSent;
-    private ChannelFuture lastResponse;
-    private Time lastResponseAt;
-
-    /** Bytes of responses that the socket has not taken. */
-    private int unwrittenBytes;
+    private ResponseWriter responses;
 
     /** What this connection is counted with in the memory of all connections of clients. */
     private long countedBytes;
@@ -93,11 +81,12 @@
      */
     private Time requestDueSince;
 
-    /** Goes on with requests that wait; null if that is not scheduled. */
-    private Timer nextTurn;
+    /** Whether requests that wait are being begun, or will be after others had their turn. */
+    private boolean isStarting;
+
+    private boolean isNextTurnScheduled;
 
-    /** Gives up what is open if the socket is not read to its end; null while it is. */
-    private Timer unreadTimer;
+    private EndWatch endWatch;
 
     Time lastReadAt;
 
@@ -108,6 +97,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        responses = new ResponseWriter(server.loop, channel, this::countMemory);
+        endWatch = new EndWatch(server.loop, channel, this::giveUpUnseen);
         lastReadAt = server.loop.enterPass();
         requestDueSince = lastReadAt;
         server.events.record(Event.CLIENT_CONNECTED, this, "");
@@ -153,28 +144,7 @@
         if (upgraded == null) {
             server.loop.enterPass();
             processRequests();
-            watchUnread();
-        }
-    }
-
-    /** Whether the socket may hold bytes, or the end of the connection, that were not read. */
-    private boolean isUnread() {
-        return channel instanceof ResilientSocketChannel socket && !socket.isReadToEnd();
-    }
-
-    /** Gives up what is open unless the socket is read to its end in time. */
-    private void watchUnread() {
-        if (!isUnread()) {
-            stopUnreadTimer();
-        } else if (unreadTimer == null && (openMultiget != null || requests.hasComplete())) {
-            unreadTimer = server.loop.schedule(LifecycleRules.MAX_UNREAD, this::giveUpUnread);
-        }
-    }
-
-    private void stopUnreadTimer() {
-        if (unreadTimer != null) {
-            unreadTimer.cancel();
-            unreadTimer = null;
+            endWatch.turnEnded(openMultiget != null || requests.hasComplete());
         }
     }
 
@@ -182,12 +152,11 @@
      * Ends what is open and refuses what waits: the socket was not read to its end for long, so it
      * is not known whether the client is still there.
      */
-    private void giveUpUnread() {
-        unreadTimer = null;
+    private void giveUpUnseen() {
         if (isClosing) {
             return;
         }
-        if (channel instanceof ResilientSocketChannel socket && socket.isReadFailing()) {
+        if (endWatch.isReadFailing()) {
             requests.refuseComplete();
         }
         if (openMultiget != null) {
@@ -209,23 +178,36 @@
     }
 
     private void processRequests() {
-        startRequests();
+        isStarting = true;
+        try {
+            startRequests();
+        } finally {
+            isStarting = false;
+        }
         countMemory();
     }
 
     /** Goes on with the requests that wait, once other connections have had their turn. */
     private void processRequestsLater() {
-        if (nextTurn == null) {
-            nextTurn =
-                    server.loop.schedule(
-                            TURN_INTERVAL,
-                            () -> {
-                                nextTurn = null;
-                                processRequests();
-                            });
+        if (!isNextTurnScheduled) {
+            isNextTurnScheduled = true;
+            server.loop.schedule(TURN_INTERVAL, this::processScheduled);
+        }
+    }
+
+    /** Goes on with the requests that have arrived meanwhile, in a pass of their own. */
+    private void processRequestsInLaterPass() {
+        if (!isStarting && !isNextTurnScheduled) {
+            isNextTurnScheduled = true;
+            server.loop.runInLaterPass(this::processScheduled);
         }
     }
 
+    private void processScheduled() {
+        isNextTurnScheduled = false;
+        processRequests();
+    }
+
     private void startRequests() {
         int started = 0;
         // Nothing is answered or begun while the client does not read its responses.
@@ -245,7 +227,7 @@
                 sendContinueIfExpected();
                 return;
             }
-            if (!server.rules.mayBegin(isUnread())) {
+            if (!server.rules.mayBegin(endWatch.isUnread())) {
                 return;
             }
             startNextRequest(progress == MessageReader.Progress.MESSAGE);
@@ -306,52 +288,26 @@
         // the end of the one before it.
         Span waited = server.loop.enterPass().since(requests.arrivedAt());
         Span timeLeft = server.limitToDeadline(reader.timeLeft().minus(waited));
-        RoutingDecision decision = server.route(timeLeft);
+        RequestAdmission.Admission admission =
+                server.admission.admit(reader, timeLeft, server.loop.enterPass());
         requests.startNext();
-        if (decision != null && decision.isDismissed()) {
-            server.ids.refused(reader.id());
-            respond(
-                    Responses.TOO_MANY,
-                    Responses.retryAfter(new Span(decision.retryAfterMicros())),
-                    "");
-            return;
-        }
-        if (!server.listener.mayAccept(reader.textSize())) {
+        if (admission.isRefused()) {
             server.ids.refused(reader.id());
-            respond(Responses.UNAVAILABLE, "", "");
+            respond(admission.refusalStatus(), admission.refusalHeaders(), "");
             return;
         }
-        int product =
-                decision == null ? reader.product() : decision.servedProduct(reader.product());
-        if (server.isProductClosed(product)) {
-            server.ids.refused(reader.id());
-            respond(Responses.UNAVAILABLE, "", "");
-            return;
-        }
-        int tenant = decision == null ? reader.tenant() : decision.servedTenant(reader.tenant());
         openMultiget =
                 reader.newMultiget(
-                        this, timeLeft, product, tenant, server.retryPolicyFor(product, decision));
+                        this,
+                        timeLeft,
+                        admission.product(),
+                        admission.tenant(),
+                        admission.retryPolicy());
         server.events.record(Event.REQUEST_ACCEPTED, reader.id(), acceptance(timeLeft, waited));
-        pollWhileOpen(openMultiget);
+        endWatch.requestBegan();
         server.listener.multigetReceived(openMultiget);
     }
 
-    /** Looks for the end of the connection while the selector may not tell of it. */
-    private void pollWhileOpen(ClientMultiget multiget) {
-        if (multiget == openMultiget
-                && channel instanceof ResilientSocketChannel socket
-                && socket.isActive()
-                && !socket.isWatched()) {
-            server.loop.schedule(
-                    LifecycleRules.MAX_UNWATCHED,
-                    () -> {
-                        socket.pollIfUnwatched();
-                        pollWhileOpen(multiget);
-                    });
-        }
-    }
-
     /** Describes the acceptance of a request for the log of events. */
     private Object acceptance(Span timeLeft, Span waited) {
         if (!server.events.isLogged()) {
@@ -399,11 +355,11 @@
         isClosing = true;
         requests.refuseComplete();
         if (wasOpen) {
-            write(Responses.GIVEN_UP, "", "", !requests.hasRefusals());
+            responses.write(Responses.GIVEN_UP, "", "", !requests.hasRefusals());
         }
         while (requests.hasRefusals() && channel.isWritable()) {
             requests.refusalAnswered();
-            write(Responses.UNAVAILABLE, "", "", !requests.hasRefusals());
+            responses.write(Responses.UNAVAILABLE, "", "", !requests.hasRefusals());
         }
         channel.flush();
     }
@@ -421,7 +377,7 @@
                 + " requests refused and "
                 + requests.rest().size()
                 + " bytes not begun, "
-                + unwrittenBytes
+                + responses.unwrittenBytes()
                 + " bytes not written";
     }
 
@@ -432,6 +388,7 @@
         }
         ClientMultiget abandoned = openMultiget;
         openMultiget = null;
+        endWatch.requestEnded();
         server.events.record(Event.REQUEST_ABANDONED, abandoned.id, this);
         server.listener.clientDisconnected(abandoned);
         return true;
@@ -474,6 +431,7 @@
         if (wasOpen) {
             server.events.record(Event.REQUEST_ANSWERED, openMultiget.id, status);
             openMultiget = null;
+            endWatch.requestEnded();
         } else {
             server.events.record(Event.REQUEST_REFUSED, this, status);
         }
@@ -481,32 +439,14 @@
             return;
         }
         isClosing = !keepAlive || isLastResponse();
-        ChannelFuture written = write(status, headers, body, isClosing);
-        lastResponse = written;
-        lastResponseAt = server.loop.enterPass();
-        server.loop.flushAfterPass(channel);
+        responses.write(status, headers, body, isClosing);
         if (isClosing) {
-            written.addListener(done -> closeAfterLinger());
+            responses.closeOnceWritten();
         } else if (wasOpen) {
-            // Requests that arrived in the meantime are processed in a pass of their own.
-            server.loop.runInLaterPass(this::processRequests);
+            processRequestsInLaterPass();
         }
     }
 
-    /** Writes a response, which leaves when the channel is flushed. */
-    private ChannelFuture write(int status, String headers, String body, boolean closes) {
-        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        ByteBuf out = channel.alloc().buffer(256 + bytes.length);
-        String head = Responses.head(status, headers, bytes.length, !closes);
-        out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-        out.writeBytes(bytes);
-        int length = out.readableBytes();
-        unwrittenBytes += length;
-        ChannelFuture written = channel.write(out);
-        written.addListener(done -> responseWritten(length));
-        return written;
-    }
-
     /**
      * Whether the connection is closed after the next response. If that is due, what has been read
      * and can't be served any more is refused first.
@@ -519,11 +459,6 @@
         return closesOnceAnswered && !requests.hasRefusals();
     }
 
-    private void responseWritten(int length) {
-        unwrittenBytes -= length;
-        countMemory();
-    }
-
     /** Updates what this connection is counted with; after an upgrade it counts elsewhere. */
     private void countMemory() {
         long bytes = upgraded != null ? 0 : heldBytes();
@@ -532,7 +467,7 @@
     }
 
     private long heldBytes() {
-        return requests.heldBytes() + unwrittenBytes;
+        return requests.heldBytes() + responses.unwrittenBytes();
     }
 
     @Override
@@ -540,7 +475,7 @@
         if (!channel.isOpen()) {
             return 0;
         }
-        return requests.heldBytes() + (isBlocked() ? unwrittenBytes : 0);
+        return requests.heldBytes() + (isBlocked() ? responses.unwrittenBytes() : 0);
     }
 
     @Override
@@ -568,20 +503,9 @@
         countMemory();
     }
 
-    /** Whether the client does not read its responses: one of an earlier pass is not written. */
+    /** Whether the client does not read its responses, and waits for none. */
     private boolean isBlocked() {
-        return openMultiget == null
-                && isResponding()
-                && lastResponseAt.before(server.loop.enterPass());
-    }
-
-    /**
-     * Closes the sending side now and the rest after the linger time. Closing a socket that has
-     * unread bytes would reset the connection, and the response could be lost.
-     */
-    private void closeAfterLinger() {
-        ((SocketChannel) channel).shutdownOutput();
-        server.loop.schedule(LINGER, channel::close);
+        return openMultiget == null && responses.isBlocked();
     }
 
     /** Responds with an error status, and closes the connection once all is answered. */
@@ -592,16 +516,14 @@
 
     /** Reads the socket again if a multiget is open, as its client may have left meanwhile. */
     void readAgainIfOpen() {
-        if (openMultiget != null && channel instanceof ResilientSocketChannel socket) {
-            socket.readNow();
+        if (openMultiget != null) {
+            endWatch.readNow();
         }
     }
 
     /** Reads the socket if the selector may not watch it. */
     void pollIfUnwatched() {
-        if (channel instanceof ResilientSocketChannel socket) {
-            socket.pollIfUnwatched();
-        }
+        endWatch.pollIfUnwatched();
     }
 
     /**
@@ -610,10 +532,8 @@
      * idle connection between requests may stay.
      */
     void closeIfStalled(Time now) {
-        if (openMultiget == null
-                && channel instanceof ResilientSocketChannel socket
-                && socket.writeStall(now).longerThan(RESPONSE_READ_TIMEOUT)) {
-            server.events.record(Event.CLIENT_NOT_READING, this, unwrittenBytes);
+        if (openMultiget == null && responses.stall(now).longerThan(RESPONSE_READ_TIMEOUT)) {
+            server.events.record(Event.CLIENT_NOT_READING, this, responses.unwrittenBytes());
             close();
         } else if (openMultiget == null
                 && !isClosing
@@ -641,16 +561,8 @@
                 : now.since(requestDueSince).longerThan(NEW_CONNECTION_PERIOD) ? 2 : 3;
     }
 
-    /**
-     * Whether a response is not written out yet: it leaves at the end of its pass, or later if the
-     * client is slow to read. Closing the connection would lose it.
-     */
-    private boolean isResponding() {
-        return lastResponse != null && !lastResponse.isDone();
-    }
-
     private boolean mayClose() {
-        return server.rules.mayClose(openMultiget != null, isResponding());
+        return server.rules.mayClose(openMultiget != null, responses.isResponding());
     }
 
     boolean isIdle() {
@@ -686,7 +598,7 @@
         }
         abandonMultiget();
         requests.clear();
-        stopUnreadTimer();
+        endWatch.stop();
         countMemory();
     }
 
--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -7,11 +7,9 @@
 import gladewing.lifecycle.MemoryLimit;
 import gladewing.lifecycle.RequestIds;
 import gladewing.loop.Loop;
-import gladewing.router.RetryPolicy;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.routes.RouteTable;
-import gladewing.routes.RoutingDecision;
 import gladewing.sockets.ResilientServerSocketChannel;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -43,6 +41,7 @@
     final Loop loop;
     final MultigetListener listener;
     final RequestReader reader;
+    final RequestAdmission admission;
     final RouterEvents events;
     final LifecycleRules rules;
 
@@ -55,21 +54,12 @@
     /** Under which ids requests may begin. */
     final RequestIds ids;
 
-    /** Null without routes, so that no class of the routes package is loaded. */
-    private RouteLookup routes;
-
-    /** Null if there are no settings for sending parts again. */
-    private RetryPolicyLookup retryPolicies;
-
     /** Null if no upgrade of a connection is supported. */
     private UpgradeHandler upgradeHandler;
 
     /** The body of the version page; null if there is no such page. */
     private Supplier<String> versionPage;
 
-    /** Indices of the products that take no more multigets. */
-    private List<Integer> closedProducts = List.of();
-
     /**
      * Upgraded connections. They have limits of their own, and do not count towards the limit on
      * HTTP connections.
@@ -110,6 +100,7 @@
         this.maxConnections = maxConnections;
         this.memory = memory;
         this.listener = listener;
+        this.admission = new RequestAdmission(listener);
         this.reader = new RequestReader(catalog);
     }
 
@@ -144,28 +135,12 @@
      * accepted before keep their route.
      */
     public void setRoutes(RouteTable table) {
-        routes = table == null ? null : new RouteLookup(table, routes);
+        admission.setRoutes(table);
     }
 
     /** Sets by which settings the parts of multigets accepted from now on are sent again. */
     public void setRetryPolicies(RetryPolicyLookup lookup) {
-        retryPolicies = lookup;
-    }
-
-    /**
-     * Settings for sending the parts of a multiget again; null if there are none, and the router
-     * module uses its defaults.
-     *
-     * @param decision null without routes
-     */
-    RetryPolicy retryPolicyFor(int product, RoutingDecision decision) {
-        return retryPolicies == null
-                ? null
-                : retryPolicies.retryPolicyFor(
-                        product,
-                        decision == null || decision.route() == null
-                                ? null
-                                : decision.route().name);
+        admission.setRetryPolicies(lookup);
     }
 
     /** Sets what GET requests for /health/version are answered with. */
@@ -186,11 +161,7 @@
      * @param products indices in the configuration
      */
     public void setClosedProducts(List<Integer> products) {
-        closedProducts = products;
-    }
-
-    boolean isProductClosed(int product) {
-        return !closedProducts.isEmpty() && closedProducts.contains(product);
+        admission.setClosedProducts(products);
     }
 
     public void setUpgradeHandler(UpgradeHandler handler) {
@@ -209,11 +180,6 @@
         return result;
     }
 
-    /** Routes the request that was read last; null without routes. */
-    RoutingDecision route(Span timeLeft) {
-        return routes == null ? null : routes.route(reader, timeLeft, loop.enterPass());
-    }
-
     /** Reads what the selector may not have told of, and closes connections that have stalled. */
     private void checkConnections() {
         loop.schedule(CHECK_INTERVAL, this::checkConnections);
