Read a client's socket again before a request that waited behind another is begun

Traced in the router's log: a pass of 324 ms (no processor), then the next buffered request of a connection was begun in a pass of its own, before the selector was asked; that the socket was read to its end was known from before the long pass.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -205,6 +205,10 @@
 
     private void processScheduled() {
         isNextTurnScheduled = false;
+        if (requests.hasComplete()) {
+            // Its client may have left since the socket was last read.
+            endWatch.readNow();
+        }
         processRequests();
     }
 
--- a/src/test/java/gladewing/serve/HeldUpPassTest.java
+++ b/src/test/java/gladewing/serve/HeldUpPassTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladewing.config.Config;
@@ -131,6 +132,32 @@
         first.close();
     }
 
+    /**
+     * A request waits behind another, which is answered before the process is held up; its client
+     * leaves meanwhile.
+     */
+    @Test
+    void beginsNoWaitingRequestOfAClientThatLeftWhileThePassWasHeldUp() throws Exception {
+        node = new ServeTestHarness.FakeDataNode();
+        RouterRuntime runtime = startRuntime(node.endpoint());
+        Socket leaving = connect();
+        leaving.getOutputStream().write(request("first"));
+        leaving.getOutputStream().write(request("left"));
+        ServeTestHarness.FakeDataNode.Frame first = node.nextFrame();
+        thread.execute(
+                () -> {
+                    runtime.loop().schedule(Span.ofMillis(1), () -> sleep(HELD_UP_MILLIS));
+                    sleep(BLOCKED_MILLIS);
+                });
+        Thread.sleep(BLOCKED_MILLIS / 3);
+        first.answer("first.0", "ok", "zero");
+        Thread.sleep(BLOCKED_MILLIS);
+        leaving.close();
+        ServeTestHarness.FakeDataNode.Frame frame =
+                node.frames.poll(3 * HELD_UP_MILLIS, TimeUnit.MILLISECONDS);
+        assertNull(frame, () -> "sent after the client had left: " + frame);
+    }
+
     /**
      * A part waits for its connection, which comes up just before its client leaves, and both are
      * read in one pass.
