Keep a stall in mind until the sockets have been read after it

Traced: the loop stood still for 330 ms (epoll_wait was interrupted again and again by the shim), then the client's end could not be read (READ fails with ENOMEM), and its multiget had 50 ms more before it was given up, in which a part was sent again. A stall now stays in force until a pass that was begun by a socket, if that follows within 5 ms; and the 50 ms count from before the stall.

--- a/src/main/java/gladewing/clients/EndWatch.java
+++ b/src/main/java/gladewing/clients/EndWatch.java
@@ -3,6 +3,7 @@
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.loop.Loop;
 import gladewing.loop.Timer;
+import gladewing.router.Span;
 import gladewing.sockets.ResilientSocketChannel;
 import io.netty.channel.Channel;
 
@@ -53,9 +54,11 @@
         if (!isUnread()) {
             stopUnreadTimer();
         } else if (unreadTimer == null && isClientWaiting) {
+            // The end may have come while the process was held up.
+            Span stall = Span.shortest(loop.stallBeforePass(), LifecycleRules.MAX_UNREAD);
             unreadTimer =
                     loop.schedule(
-                            LifecycleRules.MAX_UNREAD,
+                            LifecycleRules.MAX_UNREAD.minus(stall),
                             () -> {
                                 unreadTimer = null;
                                 onUnseen.run();
--- a/src/main/java/gladewing/loop/Loop.java
+++ b/src/main/java/gladewing/loop/Loop.java
@@ -38,6 +38,9 @@
      */
     private static final long ALARM_FRACTION_MICROS = 800;
 
+    /** How long the transport takes at most to look for events that are there already. */
+    private static final Span MAX_SELECT_DURATION = Span.ofMillis(5);
+
     private final EventLoop thread;
     private final TimerQueue timers = new TimerQueue();
     private final Set<Channel> channelsToFlush = new LinkedHashSet<>();
@@ -50,6 +53,13 @@
 
     private Time alarmAt;
     private Span stallBeforePass = Span.ZERO;
+
+    /**
+     * Whether the current or last pass was begun by a task: sockets may not have been read in it.
+     */
+    private boolean wasBegunByTask;
+
+    private Time lastPassEndedAt = now;
     private long faultCount;
 
     public Loop(EventLoop thread) {
@@ -72,15 +82,40 @@
      */
     public Time enterPass() {
         if (!isInPass) {
-            isInPass = true;
-            now = readClock();
-            stallBeforePass = alarm == null || now.before(alarmAt) ? Span.ZERO : now.since(alarmAt);
-            thread.execute(this::endPass);
-            listener.passBegan(now);
+            beginPass(false);
         }
         return now;
     }
 
+    private void beginPass(boolean isBegunByTask) {
+        isInPass = true;
+        Time formerPass = now;
+        now = readClock();
+        Span alarmLate = alarm == null || now.before(alarmAt) ? Span.ZERO : now.since(alarmAt);
+        stallBeforePass = Span.longest(alarmLate, unreadStall(formerPass));
+        wasBegunByTask = isBegunByTask;
+        thread.execute(this::endPass);
+        listener.passBegan(now);
+    }
+
+    /**
+     * The stall before the last pass, if that had none of the events that waited meanwhile: after a
+     * stall, tasks that are due run first, and the sockets are read right after them.
+     */
+    private Span unreadStall(Time formerPass) {
+        boolean isUnread =
+                wasBegunByTask
+                        && stallBeforePass.longerThan(Span.ZERO)
+                        && !now.since(lastPassEndedAt).longerThan(MAX_SELECT_DURATION);
+        return isUnread ? stallBeforePass.plus(now.since(formerPass)) : Span.ZERO;
+    }
+
+    private void enterPassByTask() {
+        if (!isInPass) {
+            beginPass(true);
+        }
+    }
+
     /** Returns for how long the current pass has lasted; begins one if none is going on. */
     public Span passDuration() {
         Time began = enterPass();
@@ -97,6 +132,7 @@
         channelsToFlush.clear();
         toFlush.forEach(Channel::flush);
         setAlarm();
+        lastPassEndedAt = readClock();
     }
 
     /**
@@ -132,7 +168,7 @@
     public void runInLaterPass(Runnable task) {
         thread.execute(
                 () -> {
-                    enterPass();
+                    enterPassByTask();
                     task.run();
                 });
     }
@@ -181,7 +217,7 @@
     }
 
     private void onAlarm() {
-        enterPass();
+        enterPassByTask();
         alarm = null;
     }
 
--- a/src/test/java/gladewing/serve/EndedClientTest.java
+++ b/src/test/java/gladewing/serve/EndedClientTest.java
@@ -31,6 +31,9 @@
     /** After a client has left, nothing may begin later than this: 0.1 s and the page's slack. */
     private static final int LATEST_MILLIS = 150;
 
+    /** Longer than the loop's longest wait for a timer, so that it is noticed. */
+    private static final int HELD_UP_MILLIS = 300;
+
     private static final int REQUESTS_AT_ONCE = 300;
     private static final int LEAVING_CLIENTS = 3;
 
@@ -304,6 +307,34 @@
         assertServes("sound");
     }
 
+    /** After the process was held up, an end that could not be read at first had 50 ms more. */
+    @Test
+    void sendsNothingAfterAHoldUpWhileReadsFail() throws Exception {
+        startWithFaults(10, "ok");
+        assertServes("first");
+        recordingA.answerBy(25, "busy");
+        recordingB.answerBy(25, "busy");
+        for (int i = 0; i < 4; i++) {
+            String id = "h" + i;
+            Client client = new Client().send(request("report", id, LONG_TIME_LIMIT));
+            awaitReceipts(id, 2);
+            signal("STOP");
+            client.close();
+            leftAt.put(id, System.nanoTime());
+            faults.fail(SyscallFaults.Call.READ, SyscallFaults.Error.EIO, SyscallFaults.ALWAYS);
+            Thread.sleep(HELD_UP_MILLIS);
+            signal("CONT");
+            Thread.sleep(100);
+            faults.clear();
+            Thread.sleep(300);
+        }
+        assertEquals(List.of(), lateParts());
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     /** The end was only looked for each 200 ms where the selector does not watch the socket. */
     @Test
     void noticesAnEndThatTheSelectorDoesNotTellOf() throws Exception {
