Read nothing as a request on a connection that was upgraded

Found in the last read: a turn that was put off for a connection could come after its upgrade and would have parsed its frames as requests. By reading, not reproduced; LiveServeTest passes.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -153,7 +153,7 @@
      * is not known whether the client is still there.
      */
     private void giveUpUnseen() {
-        if (isClosing) {
+        if (isClosing || upgraded != null) {
             return;
         }
         if (endWatch.isReadFailing()) {
@@ -178,6 +178,9 @@
     }
 
     private void processRequests() {
+        if (upgraded != null) {
+            return;
+        }
         isStarting = true;
         try {
             startRequests();
@@ -205,7 +208,7 @@
 
     private void processScheduled() {
         isNextTurnScheduled = false;
-        if (requests.hasComplete()) {
+        if (upgraded == null && requests.hasComplete()) {
             // Its client may have left since the socket was last read.
             endWatch.readNow();
         }
