Accept no more connections in a row than there are descriptors for

It accepts as many as there is room for, and 16 where there is none, as before; these are within the descriptors kept in reserve.

Measured: acceptsNoMoreAtOnceThanItHasDescriptorsFor failed before (259 sockets) and passes; closesIdleConnectionsAtTheLimit and the four cases of staysWithinItsMemoryWhileHundredsOfClientsHoldRequests pass.

--- a/src/main/java/gladewing/clients/HttpServer.java
+++ b/src/main/java/gladewing/clients/HttpServer.java
@@ -121,6 +121,7 @@
                                 })
                         .bind(address);
         acceptor = (ResilientServerSocketChannel) bound.channel();
+        acceptor.setRoom(() -> maxConnections.getAsInt() - connections.size());
         loop.schedule(CHECK_INTERVAL, this::checkConnections);
         return bound;
     }
--- a/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientServerSocketChannel.java
@@ -11,6 +11,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /**
  * Accepts connections as {@link ResilientSocketChannel}s. When the machine can't accept one, it
@@ -28,6 +29,12 @@
     private final FailureSeries accepts = new FailureSeries(FailedCallPolicy.UNLIMITED);
     private final FailureSeries preparations = new FailureSeries(PREPARATION_POLICY);
 
+    /** Few enough for the descriptors that are kept in reserve. */
+    private static final int ACCEPTED_WITHOUT_ROOM = 16;
+
+    /** How many connections there is room for. */
+    private IntSupplier room = () -> 0;
+
     /** An accepted socket that no channel could be made of yet, or null. */
     private SocketChannel unprepared;
 
@@ -52,8 +59,19 @@
         }
     }
 
+    /**
+     * Sets how many connections there is room for. That many may be accepted in a row, and a few
+     * where there is none: whoever is told of them closes others, or suspends accepting.
+     */
+    public void setRoom(IntSupplier connections) {
+        room = connections;
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
+        if (accepted.size() >= Math.max(ACCEPTED_WITHOUT_ROOM, room.getAsInt())) {
+            return 0;
+        }
         if (unprepared == null) {
             unprepared = accept();
         }
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladewing.router.Trace;
+import java.io.File;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +15,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
@@ -381,6 +384,58 @@
         assertTrace("serve-full.txt");
     }
 
+    /**
+     * A crowd connects while the process stands still. Guards against accepting more connections at
+     * once than there are descriptors for, before any of them can be closed.
+     */
+    @Test
+    void acceptsNoMoreAtOnceThanItHasDescriptorsFor() throws Exception {
+        int descriptors = 64 + 40;
+        startWithList(descriptors);
+        signal("STOP");
+        List<Socket> crowd = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            crowd.add(new Socket(LOOPBACK, port));
+        }
+        AtomicInteger most = new AtomicInteger();
+        Thread counter =
+                new Thread(
+                        () -> {
+                            while (!Thread.interrupted()) {
+                                most.accumulateAndGet(openSockets(), Math::max);
+                            }
+                        });
+        counter.start();
+        signal("CONT");
+        Thread.sleep(500);
+        counter.interrupt();
+        counter.join();
+        for (Socket socket : crowd) {
+            socket.close();
+        }
+        assertTrue(most.get() > 0 && most.get() <= descriptors, "sockets: " + most);
+        awaitReady("200");
+    }
+
+    /** How many sockets the router has. */
+    private int openSockets() {
+        int count = 0;
+        File[] files = new File("/proc/" + process.pid() + "/fd").listFiles();
+        for (File file : files == null ? new File[0] : files) {
+            try {
+                count +=
+                        Files.readSymbolicLink(file.toPath()).toString().contains("socket") ? 1 : 0;
+            } catch (IOException closed) {
+                // Closed since the folder was read.
+            }
+        }
+        return count;
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     /**
      * After SIGTERM, open multigets and those that still arrive are answered before the process
      * exits. Only a multiget whose node does not answer ends with an error.
