Answer requests that wait behind others on their connection within their own time

RequestBuffer parses requests as they arrive and keeps the time that each client stops waiting, also of those it refuses. The open multiget ends by the earliest of these (Decisions.limitDeadline), and what still waits then is refused with 503, with all before it. A request's time counts from when its own last byte came, not from the first of all that were buffered. At most 256 requests wait (and 72 KB, as before). Bytes behind a request that may be upgraded are not parsed. Found on the way: once all that waited was refused, a connection owed a request and got 408 after 2.4 s; and bytes behind an open request that can't begin a request are dropped at once instead of being held, for which ServeMemoryTest sends an unfinished request of the same size there (fails without the limit of memory, as before).

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import gladewing.events.Event;
 import gladewing.http.MessageReader;
+import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryHolder;
 import gladewing.lifecycle.ReadAllowance;
 import gladewing.lifecycle.RequestIds;
@@ -87,6 +88,7 @@
     private boolean isNextTurnScheduled;
 
     private EndWatch endWatch;
+    private WaitingDeadline waitingDeadline;
 
     Time lastReadAt;
 
@@ -99,6 +101,7 @@
         channel = context.channel();
         responses = new ResponseWriter(server.loop, channel, this::countMemory);
         endWatch = new EndWatch(server.loop, channel, this::giveUpUnseen);
+        waitingDeadline = new WaitingDeadline(server.loop, this::refuseDue);
         lastReadAt = server.loop.enterPass();
         requestDueSince = lastReadAt;
         server.events.record(Event.CLIENT_CONNECTED, this, "");
@@ -187,9 +190,26 @@
         } finally {
             isStarting = false;
         }
+        limitWaiting();
         countMemory();
     }
 
+    /** Sees to it that requests that wait behind others are answered within their clients' time. */
+    private void limitWaiting() {
+        Time deadline = requests.earliestDeadline();
+        if (openMultiget != null && deadline != null) {
+            server.listener.limitDeadline(openMultiget, LifecycleRules.latestWait(deadline));
+        }
+        Time waiting = isClosing || upgraded != null ? null : requests.earliestWaitingDeadline();
+        waitingDeadline.set(waiting == null ? null : LifecycleRules.latestWait(waiting));
+    }
+
+    private void refuseDue() {
+        requests.refuseDue(server.loop.enterPass());
+        limitWaiting();
+        processRequestsInLaterPass();
+    }
+
     /** Goes on with the requests that wait, once other connections have had their turn. */
     private void processRequestsLater() {
         if (!isNextTurnScheduled) {
@@ -227,6 +247,9 @@
                 requests.refusalAnswered();
                 server.events.record(Event.REQUEST_SENT_AHEAD, this, requests.refusals());
                 respond(Responses.UNAVAILABLE, "", "");
+                if (requests.isEmpty()) {
+                    requestDueSince = null;
+                }
                 continue;
             }
             MessageReader.Progress progress = requests.read();
@@ -252,7 +275,7 @@
     private void startNextRequest(boolean isValid) {
         MessageReader message = requests.message();
         continueSent = false;
-        requestDueSince = requests.rest().size() == 0 ? null : lastReadAt;
+        requestDueSince = requests.hasFurther() ? lastReadAt : null;
         upgraded = isValid ? server.upgrade(this, channel, message) : null;
         if (upgraded != null) {
             upgraded.read(requests.rest());
@@ -606,6 +629,7 @@
         abandonMultiget();
         requests.clear();
         endWatch.stop();
+        waitingDeadline.set(null);
         countMemory();
     }
 
--- a/src/main/java/gladewing/clients/MultigetListener.java
+++ b/src/main/java/gladewing/clients/MultigetListener.java
@@ -14,6 +14,9 @@
     /** Sets the time after which nothing can be answered any more, as the process shuts down. */
     void setFinalDeadline(Time deadline);
 
+    /** The multiget must have its final answer by this time, if its client would wait longer. */
+    void limitDeadline(AcceptedMultiget multiget, Time deadline);
+
     /** The client has closed its connection while the multiget was open. */
     void clientDisconnected(AcceptedMultiget multiget);
 }
--- a/src/main/java/gladewing/clients/RequestReader.java
+++ b/src/main/java/gladewing/clients/RequestReader.java
@@ -107,7 +107,11 @@
         String tenantHeader = message.header("x-tenant-id");
         int tenantIndex = tenantHeader == null ? -1 : catalog.tenants().indexOf(tenantHeader);
         tenant = tenantIndex < 0 ? catalog.tenants().size() : tenantIndex;
-        timeLeft = millis(message.header("x-timeout-ms"));
+        timeLeft = timeLimit(message);
+        if (timeLeft == null) {
+            throw new InvalidInputException(
+                    "x-timeout-ms is missing, not a positive number or too long");
+        }
         isRepeated = "1".equals(message.header("x-retried"));
         Fields body = Json.fields("body", message.body());
         text = body.text("q").getBytes(StandardCharsets.UTF_8);
@@ -145,19 +149,18 @@
         return number >= 0 && number < Double.POSITIVE_INFINITY;
     }
 
-    private static Span millis(String header) {
-        if (header == null
-                || header.isEmpty()
-                || header.length() > 9
-                || !header.chars().allMatch(c -> c >= '0' && c <= '9')
-                || Integer.parseInt(header) == 0) {
-            throw new InvalidInputException("x-timeout-ms is missing or not a positive number");
-        }
-        Span span = Span.ofMillis(Integer.parseInt(header));
-        if (span.longerThan(MAX_TIME)) {
-            throw new InvalidInputException("x-timeout-ms is too long");
+    /** The time that a client waits, as it says itself; null if it says nothing that is valid. */
+    static Span timeLimit(MessageReader message) {
+        String millis = message.header("x-timeout-ms");
+        if (millis == null
+                || millis.isEmpty()
+                || millis.length() > 9
+                || !millis.chars().allMatch(c -> c >= '0' && c <= '9')
+                || Integer.parseInt(millis) == 0) {
+            return null;
         }
-        return span;
+        Span limit = Span.ofMillis(Integer.parseInt(millis));
+        return limit.longerThan(MAX_TIME) ? null : limit;
     }
 
     String id() {
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -123,6 +123,13 @@
         return actions;
     }
 
+    /** As {@link #limitDeadlines}, for one multiget. */
+    public void limitDeadline(AcceptedMultiget multiget, Time latest) {
+        if (!multiget.hasEnded) {
+            multiget.handle.limitDeadline(latest);
+        }
+    }
+
     /**
      * Brings the deadlines of all open multigets forward to the given time: by then they have their
      * final answers, and none of their parts is sent afterwards.
--- a/src/main/java/gladewing/http/MessageReader.java
+++ b/src/main/java/gladewing/http/MessageReader.java
@@ -133,6 +133,11 @@
         return state != State.START_LINE && state != State.COMPLETE;
     }
 
+    /** Whether the message is invalid, so that no further one can be read. */
+    public boolean isInvalid() {
+        return state == State.INVALID;
+    }
+
     public String startLine() {
         return startLine;
     }
--- a/src/main/java/gladewing/lifecycle/LifecycleRules.java
+++ b/src/main/java/gladewing/lifecycle/LifecycleRules.java
@@ -1,6 +1,7 @@
 package gladewing.lifecycle;
 
 import gladewing.router.Span;
+import gladewing.router.Time;
 import java.util.function.Consumer;
 
 /**
@@ -34,6 +35,9 @@
      */
     public static final Span MAX_UNWATCHED = Span.ofMillis(50);
 
+    /** How long before its client's time is over a request that waits behind others is refused. */
+    private static final Span REFUSAL_MARGIN = Span.ofMillis(30);
+
     /** How long the process may be held up between a decision and its write. */
     private static final Span MAX_HOLD_UP = Span.ofMillis(150);
 
@@ -89,6 +93,25 @@
         return !isUnread;
     }
 
+    /**
+     * When requests before one that waits must have been answered, and it is refused if it still
+     * waits.
+     *
+     * @param deadline when its client stops waiting
+     */
+    public static Time latestWait(Time deadline) {
+        return deadline.minus(REFUSAL_MARGIN);
+    }
+
+    /**
+     * Whether a request that waits behind others is to be refused, so that its answer is in time.
+     *
+     * @param deadline when its client stops waiting; null if that is not known
+     */
+    public static boolean mustRefuse(Time deadline, Time now) {
+        return deadline != null && !now.before(latestWait(deadline));
+    }
+
     /**
      * Whether the router may close a client's connection of its own accord.
      *
--- a/src/main/java/gladewing/router/Multiget.java
+++ b/src/main/java/gladewing/router/Multiget.java
@@ -117,7 +117,7 @@
                 parts.get(part).transmissions.get(transmission), outcome, took, load);
     }
 
-    /** Brings the deadline forward to when the router ends, if the client would wait longer. */
+    /** Brings the deadline forward: the final answer is given by this time at the latest. */
     public void limitDeadline(Time latest) {
         deadline = latest.before(deadline) ? latest : deadline;
     }
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -390,6 +390,11 @@
         decisions.limitDeadlines(deadline);
     }
 
+    @Override
+    public void limitDeadline(AcceptedMultiget multiget, Time deadline) {
+        decisions.limitDeadline(multiget, deadline);
+    }
+
     @Override
     public void clientDisconnected(AcceptedMultiget multiget) {
         carryOut(decisions.clientLeft(multiget));
--- /dev/null
+++ b/src/test/java/gladewing/serve/PipelinedRequestTest.java
@@ -0,0 +1,118 @@
+package gladewing.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Clients send requests behind others on one connection. Guards against answers that come after
+ * their client's time because an earlier request has more of it.
+ */
+class PipelinedRequestTest extends ServeTestHarness {
+    private static final int LONG_MILLIS = 5000;
+    private static final int SHORT_MILLIS = 600;
+
+    /** The protocol page's slack on sockets, and that of an answer. */
+    private static final int SLACK_MILLIS = 70;
+
+    /** More than are kept behind an open request. */
+    private static final int TOO_MANY = 400;
+
+    private final List<RecordingNode> recordings = new ArrayList<>();
+
+    @AfterEach
+    void stopNodes() {
+        recordings.forEach(RecordingNode::close);
+    }
+
+    private void startWithNodes(int delayMillis) throws Exception {
+        startWithList();
+        recordings.add(new RecordingNode(nodeA, delayMillis, "ok"));
+        recordings.add(new RecordingNode(nodeB, delayMillis, "ok"));
+    }
+
+    private static String multiget(String id, int timeoutMillis) {
+        String body = "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"" + "x".repeat(100) + "\"}";
+        return "POST /report HTTP/1.1\r\nX-Request-ID: "
+                + id
+                + "\r\nX-Timeout-Ms: "
+                + timeoutMillis
+                + "\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    /** Sends all at once; returns the first words of the answers, which must come in time. */
+    private List<String> answersInTime(String requests, int count, int millis) throws Exception {
+        long sentAt = System.nanoTime();
+        Client client = new Client().send(requests);
+        List<String> answers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            answers.add(client.readResponse().split(" ")[0]);
+        }
+        long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+        assertTrue(
+                elapsed <= millis + SLACK_MILLIS, "the last answer came after " + elapsed + " ms");
+        client.close();
+        return answers;
+    }
+
+    /** The request behind an open one was answered when that one's longer time was over. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4})
+    void answersARequestWithinItsTimeBehindOthersThatHaveMore(int before) throws Exception {
+        startWithNodes(-1);
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < before; i++) {
+            requests.append(multiget("long-" + i, LONG_MILLIS));
+        }
+        requests.append(multiget("short", SHORT_MILLIS));
+        List<String> answers = answersInTime(requests.toString(), before + 1, SHORT_MILLIS);
+        assertTrue(answers.stream().allMatch(status -> status.matches("50[34]")), "" + answers);
+    }
+
+    /** As above, where there are too many to be kept. */
+    @Test
+    void answersRefusedRequestsWithinTheirTime() throws Exception {
+        startWithNodes(-1);
+        StringBuilder requests = new StringBuilder(multiget("long", LONG_MILLIS));
+        for (int i = 0; i < TOO_MANY; i++) {
+            requests.append(multiget("short-" + i, SHORT_MILLIS));
+        }
+        answersInTime(requests.toString(), TOO_MANY + 1, SHORT_MILLIS);
+    }
+
+    /** The time of a request counts from when it arrived, not from when the first one did. */
+    @Test
+    void servesARequestThatArrivesLaterForItsWholeTime() throws Exception {
+        startWithNodes(400);
+        Client client = new Client().send(multiget("first", LONG_MILLIS));
+        Thread.sleep(100);
+        client.send(multiget("second", 2 * SHORT_MILLIS));
+        assertTrue(client.readResponse().startsWith("200"));
+        assertTrue(client.readResponse().startsWith("200"));
+        client.close();
+    }
+
+    /** A request that waits has nothing sent for it once its time is over. */
+    @Test
+    void sendsNothingForARequestThatWasRefusedWhileItWaited() throws Exception {
+        startWithNodes(-1);
+        String requests = multiget("long", LONG_MILLIS) + multiget("short", SHORT_MILLIS);
+        answersInTime(requests, 2, SHORT_MILLIS);
+        Thread.sleep(300);
+        List<String> sent = new ArrayList<>();
+        for (RecordingNode recording : recordings) {
+            recording.receipts.forEach(receipt -> sent.add(receipt.requestId()));
+        }
+        assertEquals(List.of(), sent.stream().filter("short"::equals).toList());
+    }
+}
--- a/src/test/java/gladewing/serve/ServeMemoryTest.java
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -26,9 +26,6 @@
 
     private static final int OPEN_MULTIGETS = 700;
 
-    /** What waits behind each open request; all of it together is the router's heap. */
-    private static final int BYTES_BEHIND_REQUEST = 70_000;
-
     /** Less than a long pass reads of a connection, so that each piece is read to its end. */
     private static final int PIECE_BYTES = 3500;
 
@@ -80,10 +77,11 @@
             sendMultiget(clients.get(i), "o" + i, 3000, "c4", 1);
         }
         awaitReady("200");
-        byte[] piece = new byte[PIECE_BYTES];
-        for (int sent = 0; sent < BYTES_BEHIND_REQUEST; sent += PIECE_BYTES) {
+        byte[] further = unfinishedRequest();
+        for (int sent = 0; sent < further.length; sent += PIECE_BYTES) {
+            int length = Math.min(PIECE_BYTES, further.length - sent);
             for (Client client : clients) {
-                client.socket.getOutputStream().write(piece);
+                client.socket.getOutputStream().write(further, sent, length);
             }
             // Answered once the router has read what was sent before.
             awaitReady("200");
