Read large requests to their end in long passes, and ask whether a socket is empty

So the bound that protects others from floods turned sound clients away. Two causes, told apart by a log of each turn of reading: since a long pass read 4 KB of a connection and then 1 KB a pass; and a turn that ended at its limit counted as unread also where nothing was left. The selector tells of bytes, not of their absence, so such a request waited for the look that must come before it is begun until its connection was closed for owing one (read to 63,402 bytes in one turn, to its end in the next, 408 after that).

Now a long pass reads on, in steps of 4 KB (1 KB where the connection had too much in its last turn), until one request is complete, and no further: who sends many small ones is held as before. At the limit one byte more is asked for, which tells an empty socket from a full one. A socket that stays unread is read again after 50 ms, then at twice the time up to 400 ms, whatever the selector tells; only what is still unread then is given up.

PipelinedRequestTest.beginsARequestThatALongPassHasReadToItsLastByte fails in two of three runs without the look again.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -106,12 +106,16 @@
         requestDueSince = lastReadAt;
         server.events.record(Event.CLIENT_CONNECTED, this, "");
         if (channel instanceof ResilientSocketChannel socket) {
-            socket.setReadLimiter(
-                    wasExceeded -> ReadAllowance.bytes(server.loop.passDuration(), wasExceeded));
+            socket.setReadLimiter(this::readAllowance);
         }
         server.connectionOpened(this);
     }
 
+    private int readAllowance(boolean wasExceeded, int readInTurn) {
+        boolean isWaiting = upgraded != null || requests.hasComplete() || requests.hasRefusals();
+        return ReadAllowance.bytes(server.loop.passDuration(), wasExceeded, readInTurn, isWaiting);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object read) {
         lastReadAt = server.loop.enterPass();
--- a/src/main/java/gladewing/clients/EndWatch.java
+++ b/src/main/java/gladewing/clients/EndWatch.java
@@ -12,6 +12,9 @@
  * open or wait, or that it is known that it could not be noticed.
  */
 final class EndWatch {
+    /** How often at least a socket that stays unread is read without the selector's telling. */
+    private static final Span MAX_READ_AGAIN_DELAY = LifecycleRules.MAX_UNREAD.times(8);
+
     private final Loop loop;
 
     /** Null for a channel that is always read to its end. */
@@ -22,6 +25,11 @@
     /** Runs out if the socket is not read to its end; null while it is. */
     private Timer unreadTimer;
 
+    private boolean isReadingAgain;
+
+    /** After what time without having been read to its end the socket was last read once more. */
+    private Span readAgainDelay = LifecycleRules.MAX_UNREAD;
+
     /** Reads a socket that the selector may not watch; null if nothing is to be read. */
     private Timer pollTimer;
 
@@ -53,16 +61,30 @@
     void turnEnded(boolean isClientWaiting) {
         if (!isUnread()) {
             stopUnreadTimer();
-        } else if (unreadTimer == null && isClientWaiting) {
+            readAgainDelay = LifecycleRules.MAX_UNREAD;
+        } else if (unreadTimer == null && isClientWaiting && !isReadingAgain) {
             // The end may have come while the process was held up.
             Span stall = Span.shortest(loop.stallBeforePass(), LifecycleRules.MAX_UNREAD);
-            unreadTimer =
-                    loop.schedule(
-                            LifecycleRules.MAX_UNREAD.minus(stall),
-                            () -> {
-                                unreadTimer = null;
-                                onUnseen.run();
-                            });
+            startUnreadTimer(LifecycleRules.MAX_UNREAD.minus(stall));
+        }
+    }
+
+    private void startUnreadTimer(Span delay) {
+        unreadTimer = loop.schedule(delay, this::readUnread);
+    }
+
+    /**
+     * Reads once more: the selector does not tell that nothing is left of a socket of which a turn
+     * has read as much as it might.
+     */
+    private void readUnread() {
+        isReadingAgain = true;
+        readNow();
+        isReadingAgain = false;
+        if (isUnread() && socket.isActive()) {
+            readAgainDelay = Span.shortest(readAgainDelay.times(2), MAX_READ_AGAIN_DELAY);
+            startUnreadTimer(readAgainDelay);
+            onUnseen.run();
         }
     }
 
--- a/src/main/java/gladewing/lifecycle/ReadAllowance.java
+++ b/src/main/java/gladewing/lifecycle/ReadAllowance.java
@@ -14,10 +14,10 @@
     /** For a connection that has had more than it was allowed in its last turn. */
     static final int CONTINUED_BYTES = 16 * 1024;
 
-    /** What a long pass still reads of each connection; most requests are smaller. */
+    /** What a long pass reads of each connection at a time; most requests are smaller. */
     static final int REDUCED_BYTES = 4 * 1024;
 
-    /** What a long pass still reads of a connection that had more in its last turn. */
+    /** As above, of a connection that had more than it was allowed in its last turn. */
     static final int LEAST_BYTES = 1024;
 
     /** How long a pass may last before it is a long one. */
@@ -26,15 +26,21 @@
     private ReadAllowance() {}
 
     /**
-     * Returns how many bytes may be read of a connection.
+     * Returns how many bytes may be read next of a connection; 0 ends its turn. A long pass reads
+     * one large request to its end, in small steps, and nothing behind a complete one.
      *
      * @param sincePassBegan for how long the pass has lasted
      * @param wasExceeded whether the connection had more than it was allowed in its last turn
+     * @param readInTurn what was read in its turn before, in bytes
+     * @param isWaiting whether something that is complete waits to be handled
      */
-    public static int bytes(Span sincePassBegan, boolean wasExceeded) {
-        if (sincePassBegan.longerThan(SHORT_PASS)) {
-            return wasExceeded ? LEAST_BYTES : REDUCED_BYTES;
+    public static int bytes(
+            Span sincePassBegan, boolean wasExceeded, int readInTurn, boolean isWaiting) {
+        if (!sincePassBegan.longerThan(SHORT_PASS)) {
+            return Math.max(0, (wasExceeded ? CONTINUED_BYTES : FULL_BYTES) - readInTurn);
         }
-        return wasExceeded ? CONTINUED_BYTES : FULL_BYTES;
+        int step = wasExceeded ? LEAST_BYTES : REDUCED_BYTES;
+        int allowed = isWaiting ? step : FULL_BYTES;
+        return Math.max(0, Math.min(step, allowed - readInTurn));
     }
 }
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -93,7 +93,9 @@
     public void channelActive(ChannelHandlerContext context) {
         if (context.channel() instanceof ResilientSocketChannel socket) {
             socket.setReadLimiter(
-                    wasExceeded -> ReadAllowance.bytes(server.loop.passDuration(), wasExceeded));
+                    (wasExceeded, readInTurn) ->
+                            ReadAllowance.bytes(
+                                    server.loop.passDuration(), wasExceeded, readInTurn, true));
         }
         server.loop.enterPass();
         channel = context.channel();
--- a/src/main/java/gladewing/sockets/ResilientSocketChannel.java
+++ b/src/main/java/gladewing/sockets/ResilientSocketChannel.java
@@ -41,18 +41,19 @@
     private static final Span REREGISTRATION_DELAY = Span.ofMillis(1);
 
     /** How often a socket is read in a row; more than a request and the end after it need. */
-    private static final int MAX_READS = 16;
+    private static final int MAX_READS = 32;
 
     private static final Span NO_LIMIT = new Span(Long.MAX_VALUE);
 
     /** Decides how much of a socket is read before others have their turn. */
     public interface ReadLimiter {
         /**
-         * Returns how many bytes may be read in the turn that begins; the rest is read later.
+         * Returns how many bytes may be read next; 0 leaves the rest for a later turn.
          *
-         * @param wasExceeded whether there was more than that in the last turn
+         * @param wasExceeded whether the last turn ended that way
+         * @param readInTurn what was read in this turn before, in bytes
          */
-        int maxBytes(boolean wasExceeded);
+        int maxBytes(boolean wasExceeded, int readInTurn);
     }
 
     private final FailureSeries reads = new FailureSeries(POLICY);
@@ -97,12 +98,18 @@
 
     private Span maxWriteDelay = NO_LIMIT;
 
-    private ReadLimiter readLimiter = wasExceeded -> Integer.MAX_VALUE;
+    private ReadLimiter readLimiter = (wasExceeded, readInTurn) -> Integer.MAX_VALUE;
 
-    /** What may still be read in this turn; negative before its first read. */
-    private int remainingAllowance = -1;
+    /** Whether the next read begins a turn. */
+    private boolean isTurnOver = true;
 
-    /** Whether the last turn ended with the allowance. */
+    /** What was read in this turn, in bytes. */
+    private int readInTurn;
+
+    /** Whether this turn has ended as nothing more may be read in it. */
+    private boolean isAllowanceExceeded;
+
+    /** Whether the turn before has. */
     private boolean wasAllowanceExceeded;
 
     /** Whether TCP_NODELAY is still to be set, as that has failed so far. */
@@ -161,7 +168,7 @@
 
     @Override
     protected void doBeginRead() throws Exception {
-        remainingAllowance = -1;
+        isTurnOver = true;
         if (isReadPaused) {
             return;
         }
@@ -176,17 +183,18 @@
     @Override
     protected int doReadBytes(ByteBuf target) throws Exception {
         isReadToEnd = false;
-        if (remainingAllowance < 0) {
-            remainingAllowance = readLimiter.maxBytes(wasAllowanceExceeded);
-        }
-        wasAllowanceExceeded = remainingAllowance == 0;
-        if (wasAllowanceExceeded) {
+        beginTurnIfDue();
+        if (isAllowanceExceeded) {
             return 0;
         }
+        int allowance = readLimiter.maxBytes(wasAllowanceExceeded, readInTurn);
+        // One byte more tells whether there is anything beyond the allowance.
+        isAllowanceExceeded = allowance == 0;
+        allowance = Math.max(1, allowance);
         int count;
         try {
-            count = readSocket(target);
-            remainingAllowance -= Math.max(0, count);
+            count = readSocket(target, allowance);
+            readInTurn += Math.max(0, count);
         } catch (SocketException | ClosedChannelException ended) {
             // The JDK tells a reset by the other side from all other failures by its type.
             pipeline().fireUserEventTriggered(ReadEvent.RESET);
@@ -198,6 +206,7 @@
             return repeatRead(new InterruptedIOException());
         }
         if (count == 0) {
+            isAllowanceExceeded = false;
             return nothingRead();
         }
         wasLastReadEmpty = false;
@@ -211,8 +220,17 @@
         return count;
     }
 
-    private int readSocket(ByteBuf target) throws IOException {
-        int wanted = Math.min(target.writableBytes(), remainingAllowance);
+    private void beginTurnIfDue() {
+        if (isTurnOver) {
+            isTurnOver = false;
+            wasAllowanceExceeded = isAllowanceExceeded;
+            isAllowanceExceeded = false;
+            readInTurn = 0;
+        }
+    }
+
+    private int readSocket(ByteBuf target, int maxBytes) throws IOException {
+        int wanted = Math.min(target.writableBytes(), maxBytes);
         unsafe().recvBufAllocHandle().attemptedBytesRead(wanted);
         return target.writeBytes(javaChannel(), wanted);
     }
@@ -313,7 +331,7 @@
     private void poll() {
         isPolling = true;
         hasPollFoundBytes = false;
-        remainingAllowance = -1;
+        isTurnOver = true;
         unsafe().read();
         isPolling = false;
     }
--- a/src/test/java/gladewing/serve/EndedClientTest.java
+++ b/src/test/java/gladewing/serve/EndedClientTest.java
@@ -331,10 +331,6 @@
         assertEquals(List.of(), lateParts());
     }
 
-    private void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
     /** The end was only looked for each 200 ms where the selector does not watch the socket. */
     @Test
     void noticesAnEndThatTheSelectorDoesNotTellOf() throws Exception {
--- a/src/test/java/gladewing/serve/PipelinedRequestTest.java
+++ b/src/test/java/gladewing/serve/PipelinedRequestTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,12 @@
     /** More than are kept behind an open request. */
     private static final int TOO_MANY = 400;
 
+    /** Together they make a pass longer than a short one. */
+    private static final int SENDING_CLIENTS = 60;
+
+    private static final int CHECKS_AT_ONCE = 2000;
+    private static final int LARGE_TEXT = 20_000;
+
     private final List<RecordingNode> recordings = new ArrayList<>();
 
     @AfterEach
@@ -39,7 +46,11 @@
     }
 
     private static String multiget(String id, int timeoutMillis) {
-        String body = "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"" + "x".repeat(100) + "\"}";
+        return multiget(id, timeoutMillis, "x".repeat(100));
+    }
+
+    private static String multiget(String id, int timeoutMillis, String text) {
+        String body = "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"" + text + "\"}";
         return "POST /report HTTP/1.1\r\nX-Request-ID: "
                 + id
                 + "\r\nX-Timeout-Ms: "
@@ -102,6 +113,33 @@
         client.close();
     }
 
+    /**
+     * A long pass has read as much of a socket as it may, and nothing is left in it: the request
+     * was not begun, as its client could have left, and got 408 after 2.4 s.
+     */
+    @Test
+    void beginsARequestThatALongPassHasReadToItsLastByte() throws Exception {
+        startWithNodes(5);
+        byte[] checks =
+                "GET /health/ready HTTP/1.1\r\n\r\n"
+                        .repeat(CHECKS_AT_ONCE)
+                        .getBytes(StandardCharsets.ISO_8859_1);
+        List<Client> others = new ArrayList<>();
+        for (int i = 0; i < SENDING_CLIENTS; i++) {
+            others.add(new Client());
+        }
+        Client sound = new Client();
+        Thread.sleep(100);
+        signal("STOP");
+        for (Client other : others) {
+            other.socket.getOutputStream().write(checks);
+        }
+        sound.send(multiget("large", LONG_MILLIS, "x".repeat(LARGE_TEXT)));
+        signal("CONT");
+        sound.socket.setSoTimeout(LONG_MILLIS);
+        assertTrue(sound.readResponse().startsWith("200"));
+    }
+
     /** A request that waits has nothing sent for it once its time is over. */
     @Test
     void sendsNothingForARequestThatWasRefusedWhileItWaited() throws Exception {
--- a/src/test/java/gladewing/serve/RudeClientTest.java
+++ b/src/test/java/gladewing/serve/RudeClientTest.java
@@ -33,6 +33,10 @@
     private static final int FLOOD_MILLIS = 3000;
     private static final int FLOODING_CLIENTS = 200;
     private static final int LEAVING_CLIENTS = 16;
+
+    /** With its request it is nearly as large as a body may be. */
+    private static final String LARGE_TEXT = "x".repeat(65_000);
+
     private static final int SOUND_INTERVAL_MILLIS = 20;
 
     /** The limit of a router's memory in the settings of the examples and of the tests. */
@@ -109,7 +113,11 @@
     }
 
     private static String multiget(String id, int timeoutMillis) {
-        String body = "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"\"}";
+        return multiget(id, timeoutMillis, "");
+    }
+
+    private static String multiget(String id, int timeoutMillis, String text) {
+        String body = "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"" + text + "\"}";
         return "POST /report HTTP/1.1\r\nX-Request-ID: "
                 + id
                 + "\r\nX-Timeout-Ms: "
@@ -151,6 +159,10 @@
 
     /** Asks one request after the other; returns what was late, lost or not served. */
     private List<String> askWhileFlooding(String prefix) throws Exception {
+        return askWhileFlooding(prefix, "");
+    }
+
+    private List<String> askWhileFlooding(String prefix, String text) throws Exception {
         List<String> failures = new ArrayList<>();
         long end = System.nanoTime() + FLOOD_MILLIS * 1_000_000L;
         Client client = new Client();
@@ -159,7 +171,8 @@
             String response;
             try {
                 client.socket.setSoTimeout(3 * QUOTED_MILLIS);
-                response = client.send(multiget(prefix + i, 3 * QUOTED_MILLIS)).readResponse();
+                response =
+                        client.send(multiget(prefix + i, 3 * QUOTED_MILLIS, text)).readResponse();
             } catch (SocketTimeoutException none) {
                 response = "none";
             }
@@ -226,6 +239,18 @@
         assertHolds(askWhileFlooding("s"));
     }
 
+    /** As above, for others whose requests are among the largest. */
+    @ParameterizedTest
+    @CsvSource({"CHECKS, true", "UNSOUND_BODIES, true", "HURRIED_MULTIGETS, true"})
+    void servesLargeRequestsBesideManyClientsThatSendAtFullSpeed(Flood kind, boolean readsAnswers)
+            throws Exception {
+        startWithNodes();
+        for (int i = 0; i < FLOODING_CLIENTS; i++) {
+            flood(i, kind, readsAnswers);
+        }
+        assertHolds(askWhileFlooding("s", LARGE_TEXT));
+    }
+
     /** What hundreds of clients have begun to send took a process past its memory limit. */
     @ParameterizedTest
     @ValueSource(strings = {"SLOW", "HALF", "HEADS", "CHUNKS"})
--- a/src/test/java/gladewing/serve/ServeMemoryTest.java
+++ b/src/test/java/gladewing/serve/ServeMemoryTest.java
@@ -185,11 +185,6 @@
         throw new AssertionError("not logged: " + text + " in " + log);
     }
 
-    /** Sends a signal to the router. */
-    private void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
     private List<Client> connect(int count) throws IOException {
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -432,10 +432,6 @@
         return count;
     }
 
-    private void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
     /**
      * After SIGTERM, open multigets and those that still arrive are answered before the process
      * exits. Only a multiget whose node does not answer ends with an error.
--- a/src/test/java/gladewing/serve/ServeTestHarness.java
+++ b/src/test/java/gladewing/serve/ServeTestHarness.java
@@ -581,6 +581,11 @@
         }
     }
 
+    /** Sends a signal to the router. */
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     /** Adds a line to the trace. */
     void record(String who, Object what) {
         trace.append(who).append(": ").append(what).append('\n');
--- a/src/test/java/gladewing/serve/SyscallFaultTest.java
+++ b/src/test/java/gladewing/serve/SyscallFaultTest.java
@@ -144,10 +144,6 @@
         }
     }
 
-    private void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
     /**
      * Requests that are open, sent on a kept connection and sent on a new one while a call fails.
      * Guards against closing connections, and against no longer accepting or reading any.
