Let clients that send several requests at once join the soak, and wait for all answers

Rude clients sent much at once and left; nobody sent a few requests on one connection, each with a time of its own, and stayed. One such client a router does now (SoakPipeliningClient); the oracle checks each answer against its own request's time. Its random numbers are its own, so the other draws of a seed stay as they were.

--- a/src/test/java/gladewing/soak/SoakRun.java
+++ b/src/test/java/gladewing/soak/SoakRun.java
@@ -139,7 +139,17 @@
     }
 
     private void startClients(SoakFleet fleet, ExecutorService threads) {
+        Random pipeliningSeeds = new Random(seed);
         for (SoakFleet.Router router : fleet.routers) {
+            threads.execute(
+                    new SoakPipeliningClient(
+                            "pipe" + router.index,
+                            router.index,
+                            router.port,
+                            pipeliningSeeds.nextLong(),
+                            requests,
+                            () -> isLoaded,
+                            router::isInFront));
             for (int i = 0; i < CLIENTS_PER_ROUTER; i++) {
                 threads.execute(
                         new SoakClient(
