Send no call that waited for its connection to a node that has gone or was replaced

ConnectionPool.takesNew decides all three now; such parts end as not sent. Red before in both cases: no end of the part in 30 s, as it had been sent (NodeClientTest.waitingPartIsNotSentToANodeThatIsGone). NodeClientTest (15) and ServeTest (16) pass.

Also: a request that waits is counted with 384 bytes for its objects, not 256.

--- a/src/main/java/gladewing/clients/RequestBuffer.java
+++ b/src/main/java/gladewing/clients/RequestBuffer.java
@@ -23,7 +23,7 @@
     private static final int MAX_WAITING_REQUESTS = 256;
 
     /** What the objects for one request take. */
-    private static final int OBJECT_BYTES = 256;
+    private static final int OBJECT_BYTES = 384;
 
     /**
      * A complete request.
--- a/src/main/java/gladewing/lifecycle/LifecycleRules.java
+++ b/src/main/java/gladewing/lifecycle/LifecycleRules.java
@@ -66,10 +66,10 @@
      * Whether a part may be sent to a node, for the first time or again.
      *
      * @param hasEnded whether its multiget has its final answer, or needs none any more
-     * @param isDraining whether the node takes nothing new
+     * @param isNodeClosed whether the node takes nothing new, as it drains, is gone or was replaced
      */
-    public boolean maySend(boolean hasEnded, boolean isDraining) {
-        return !hasEnded && !isDraining;
+    public boolean maySend(boolean hasEnded, boolean isNodeClosed) {
+        return !hasEnded && !isNodeClosed;
     }
 
     /**
--- a/src/main/java/gladewing/nodes/ConnectionPool.java
+++ b/src/main/java/gladewing/nodes/ConnectionPool.java
@@ -26,6 +26,13 @@
         this.node = node;
     }
 
+    /**
+     * Whether calls may be sent to a run of the node: it is listed, is the last, and not draining.
+     */
+    boolean takesNew(NodeIncarnation run) {
+        return !isDraining && run.equals(incarnation);
+    }
+
     /** Records that a connection broke while answers were awaited on it. */
     void connectionBroke(Time now) {
         lastBrokenAt = now;
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -210,7 +210,7 @@
     /**
      * Writes a call, which may have waited for the connection to come up. Parts that have ended in
      * the meantime are left out. So are, even where withdrawals are not allowed, the parts of a
-     * multiget that has its final answer, and all parts if the node is draining.
+     * multiget that has its final answer, and all parts if the node takes nothing new any more.
      */
     private void writeCall(List<InFlightTransmission> call) {
         Time now = client.loop.enterPass();
@@ -229,7 +229,8 @@
     }
 
     private boolean maySend(InFlightTransmission part) {
-        return client.rules.maySend(part.transmission.multiget.hasEnded(), pool.isDraining);
+        return client.rules.maySend(
+                part.transmission.multiget.hasEnded(), !pool.takesNew(incarnation));
     }
 
     private void checkSent(ChannelFuture frameWrite, Time decidedAt) {
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -35,6 +35,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Transmissions and probes over real connections to a data node that the test plays. */
 class NodeClientTest implements NodeEventListener, Loop.PassListener {
@@ -296,6 +298,32 @@
         }
     }
 
+    /**
+     * A call that waited for its connection was still sent when its node had gone from the list, or
+     * had a new incarnation, meanwhile.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void waitingPartIsNotSentToANodeThatIsGone(boolean isReplaced) throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, false, LONG);
+            putNode("n", node.port());
+            AcceptedMultiget multiget = Trace.silentMultiget("1", 2, 0);
+            run(
+                    () -> {
+                        client.transmit(List.of(to("n", multiget, 0, LONG)));
+                        if (isReplaced) {
+                            client.putNode("n", new InetSocketAddress("127.0.0.1", 1), 1);
+                        } else {
+                            client.removeNode("n");
+                        }
+                    });
+            recordNextEnd();
+            assertEquals("end: 1.0 NOT_SENT\n", trace.toString());
+            assertTrue(node.hasNoFrames());
+        }
+    }
+
     /**
      * Guards against answers that begin, do not end and together use up the heap, over all
      * connections: what has held its memory longest gives way, and its parts end as broken.
