Split turns of a client's connection off, and give the soak's clients one target

The three kinds of clients in the soak had the same six fields and constructor each; they share SoakTarget now. The draws of a seed stay as they were.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -39,9 +39,6 @@
     /** How many requests of a connection are answered or begun in a row. */
     private static final int MAX_REQUESTS_PER_TURN = 64;
 
-    /** How soon a connection goes on with what it could not begin in its turn. */
-    private static final Span TURN_INTERVAL = Span.ofMillis(1);
-
     /** A connection counts as new, and is the last to be closed for another, for this long. */
     private static final Span NEW_CONNECTION_PERIOD = Span.ofMillis(500);
 
@@ -82,11 +79,7 @@
      */
     private Time requestDueSince;
 
-    /** Whether requests that wait are being begun, or will be after others had their turn. */
-    private boolean isStarting;
-
-    private boolean isNextTurnScheduled;
-
+    private RequestTurns turns;
     private EndWatch endWatch;
     private WaitingDeadline waitingDeadline;
 
@@ -102,6 +95,7 @@
         responses = new ResponseWriter(server.loop, channel, this::countMemory);
         endWatch = new EndWatch(server.loop, channel, this::giveUpUnseen);
         waitingDeadline = new WaitingDeadline(server.loop, this::refuseDue);
+        turns = new RequestTurns(server.loop, this::startRequests, this::processScheduled);
         lastReadAt = server.loop.enterPass();
         requestDueSince = lastReadAt;
         server.events.record(Event.CLIENT_CONNECTED, this, "");
@@ -188,12 +182,7 @@
         if (upgraded != null) {
             return;
         }
-        isStarting = true;
-        try {
-            startRequests();
-        } finally {
-            isStarting = false;
-        }
+        turns.runNow();
         limitWaiting();
         countMemory();
     }
@@ -211,27 +200,10 @@
     private void refuseDue() {
         requests.refuseDue(server.loop.enterPass());
         limitWaiting();
-        processRequestsInLaterPass();
-    }
-
-    /** Goes on with the requests that wait, once other connections have had their turn. */
-    private void processRequestsLater() {
-        if (!isNextTurnScheduled) {
-            isNextTurnScheduled = true;
-            server.loop.schedule(TURN_INTERVAL, this::processScheduled);
-        }
-    }
-
-    /** Goes on with the requests that have arrived meanwhile, in a pass of their own. */
-    private void processRequestsInLaterPass() {
-        if (!isStarting && !isNextTurnScheduled) {
-            isNextTurnScheduled = true;
-            server.loop.runInLaterPass(this::processScheduled);
-        }
+        turns.runInLaterPass();
     }
 
     private void processScheduled() {
-        isNextTurnScheduled = false;
         if (upgraded == null && requests.hasComplete()) {
             // Its client may have left since the socket was last read.
             endWatch.readNow();
@@ -244,7 +216,7 @@
         // Nothing is answered or begun while the client does not read its responses.
         while (server.rules.mayAnswerNext(openMultiget != null, isClosing, channel.isWritable())) {
             if (started++ == MAX_REQUESTS_PER_TURN) {
-                processRequestsLater();
+                turns.runSoon();
                 return;
             }
             if (requests.hasRefusals()) {
@@ -355,7 +327,7 @@
         if (upgraded != null) {
             upgraded.writabilityChanged(channel.isWritable());
         } else {
-            processRequestsLater();
+            turns.runSoon();
         }
     }
 
@@ -477,7 +449,7 @@
         if (isClosing) {
             responses.closeOnceWritten();
         } else if (wasOpen) {
-            processRequestsInLaterPass();
+            turns.runInLaterPass();
         }
     }
 
--- a/src/test/java/gladewing/soak/SoakClient.java
+++ b/src/test/java/gladewing/soak/SoakClient.java
@@ -1,13 +1,10 @@
 package gladewing.soak;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.Queue;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
 
 /** A client that sends one request after the other to one router, and keeps its connection. */
 final class SoakClient implements Runnable {
@@ -20,42 +17,21 @@
 
     private static final int CONNECT_TIMEOUT_MILLIS = 3000;
 
-    private final String name;
-    private final int router;
-    private final int port;
+    private final SoakTarget target;
     private final Random random;
-    private final Queue<SoakRequest> requests;
-    private final BooleanSupplier isRunning;
-    private final BooleanSupplier mayConnect;
     private Socket socket;
     private int count;
 
-    /**
-     * @param requests gets each request once it has ended
-     * @param mayConnect whether the front sends new connections to the router
-     */
-    SoakClient(
-            String name,
-            int router,
-            int port,
-            long seed,
-            Queue<SoakRequest> requests,
-            BooleanSupplier isRunning,
-            BooleanSupplier mayConnect) {
-        this.name = name;
-        this.router = router;
-        this.port = port;
+    SoakClient(SoakTarget target, long seed) {
+        this.target = target;
         this.random = new Random(seed);
-        this.requests = requests;
-        this.isRunning = isRunning;
-        this.mayConnect = mayConnect;
     }
 
     @Override
     public void run() {
-        while (isRunning.getAsBoolean()) {
+        while (target.isRunning().getAsBoolean()) {
             try {
-                if (socket == null && !mayConnect.getAsBoolean()) {
+                if (socket == null && !target.mayConnect().getAsBoolean()) {
                     Thread.sleep(10);
                     continue;
                 }
@@ -74,8 +50,8 @@
                 MIN_TIMEOUT_MILLIS + random.nextInt(MAX_TIMEOUT_MILLIS - MIN_TIMEOUT_MILLIS);
         SoakRequest request =
                 new SoakRequest(
-                        name + "-" + ++count,
-                        router,
+                        target.client() + "-" + ++count,
+                        target.router(),
                         PRODUCTS[random.nextInt(PRODUCTS.length)],
                         shards,
                         timeoutMillis);
@@ -83,7 +59,7 @@
             send(request);
         } catch (IOException refused) {
             request.ended(SoakRequest.End.NOT_ACCEPTED);
-            requests.add(request);
+            target.requests().add(request);
             close();
             Thread.sleep(20);
             return;
@@ -95,7 +71,7 @@
         } else {
             receive(request);
         }
-        requests.add(request);
+        target.requests().add(request);
         if (socket != null && random.nextInt(100) < 10) {
             close();
         }
@@ -106,8 +82,7 @@
             socket = new Socket();
             socket.setTcpNoDelay(true);
             socket.connect(
-                    new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
-                    CONNECT_TIMEOUT_MILLIS);
+                    new InetSocketAddress(target.address(), target.port()), CONNECT_TIMEOUT_MILLIS);
         }
         request.sentAt = System.nanoTime();
         socket.getOutputStream().write(request.bytes());
--- a/src/test/java/gladewing/soak/SoakPipeliningClient.java
+++ b/src/test/java/gladewing/soak/SoakPipeliningClient.java
@@ -2,14 +2,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
 
 /**
  * A client that sends several requests at once on one connection, each with a time of its own, and
@@ -24,41 +21,20 @@
     /** How long after the longest time it still waits, to see a late answer as such. */
     private static final int PATIENCE_MILLIS = 1500;
 
-    private final String name;
-    private final int router;
-    private final int port;
+    private final SoakTarget target;
     private final Random random;
-    private final Queue<SoakRequest> requests;
-    private final BooleanSupplier isRunning;
-    private final BooleanSupplier mayConnect;
     private int count;
 
-    /**
-     * @param requests gets each request once it has ended
-     * @param mayConnect whether the front sends new connections to the router
-     */
-    SoakPipeliningClient(
-            String name,
-            int router,
-            int port,
-            long seed,
-            Queue<SoakRequest> requests,
-            BooleanSupplier isRunning,
-            BooleanSupplier mayConnect) {
-        this.name = name;
-        this.router = router;
-        this.port = port;
+    SoakPipeliningClient(SoakTarget target, long seed) {
+        this.target = target;
         this.random = new Random(seed);
-        this.requests = requests;
-        this.isRunning = isRunning;
-        this.mayConnect = mayConnect;
     }
 
     @Override
     public void run() {
-        while (isRunning.getAsBoolean()) {
+        while (target.isRunning().getAsBoolean()) {
             try {
-                if (mayConnect.getAsBoolean()) {
+                if (target.mayConnect().getAsBoolean()) {
                     askAtOnce();
                 }
                 Thread.sleep(random.nextInt(100));
@@ -75,7 +51,7 @@
             sent.add(newRequest());
             all.writeBytes(sent.get(sent.size() - 1).bytes());
         }
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        try (Socket socket = new Socket(target.address(), target.port())) {
             long now = System.nanoTime();
             sent.forEach(request -> request.sentAt = now);
             socket.getOutputStream().write(all.toByteArray());
@@ -84,15 +60,15 @@
         } catch (IOException refused) {
             endRest(sent, SoakRequest.End.NOT_ACCEPTED);
         }
-        requests.addAll(sent);
+        target.requests().addAll(sent);
     }
 
     private SoakRequest newRequest() {
         int timeoutMillis =
                 MIN_TIMEOUT_MILLIS + random.nextInt(MAX_TIMEOUT_MILLIS - MIN_TIMEOUT_MILLIS);
         return new SoakRequest(
-                name + "-" + ++count,
-                router,
+                target.client() + "-" + ++count,
+                target.router(),
                 PRODUCTS[random.nextInt(PRODUCTS.length)],
                 1 + random.nextInt(4),
                 timeoutMillis);
--- a/src/test/java/gladewing/soak/SoakRudeClient.java
+++ b/src/test/java/gladewing/soak/SoakRudeClient.java
@@ -3,14 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
 import java.util.Random;
-import java.util.function.BooleanSupplier;
 
 /**
  * A client that keeps to no manners: it sends much at once and leaves, uses ids again, sends
@@ -34,41 +31,20 @@
         "noise %d\r\n"
     };
 
-    private final String name;
-    private final int router;
-    private final int port;
+    private final SoakTarget target;
     private final Random random;
-    private final Queue<SoakRequest> requests;
-    private final BooleanSupplier isRunning;
-    private final BooleanSupplier mayConnect;
     private int count;
 
-    /**
-     * @param requests gets each request once its client has left or has its answer
-     * @param mayConnect whether the front sends new connections to the router
-     */
-    SoakRudeClient(
-            String name,
-            int router,
-            int port,
-            long seed,
-            Queue<SoakRequest> requests,
-            BooleanSupplier isRunning,
-            BooleanSupplier mayConnect) {
-        this.name = name;
-        this.router = router;
-        this.port = port;
+    SoakRudeClient(SoakTarget target, long seed) {
+        this.target = target;
         this.random = new Random(seed);
-        this.requests = requests;
-        this.isRunning = isRunning;
-        this.mayConnect = mayConnect;
     }
 
     @Override
     public void run() {
-        while (isRunning.getAsBoolean()) {
+        while (target.isRunning().getAsBoolean()) {
             try {
-                if (mayConnect.getAsBoolean()) {
+                if (target.mayConnect().getAsBoolean()) {
                     act(Manner.values()[random.nextInt(Manner.values().length)]);
                 }
                 Thread.sleep(100 + random.nextInt(300));
@@ -90,14 +66,18 @@
     }
 
     private Socket connect() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        Socket socket = new Socket(target.address(), target.port());
         socket.setTcpNoDelay(true);
         return socket;
     }
 
     private SoakRequest newRequest(String product) {
         return new SoakRequest(
-                name + "-" + ++count, router, product, 1 + random.nextInt(4), TIMEOUT_MILLIS);
+                target.client() + "-" + ++count,
+                target.router(),
+                product,
+                1 + random.nextInt(4),
+                TIMEOUT_MILLIS);
     }
 
     private void sendMuchAndLeave() throws IOException, InterruptedException {
@@ -116,7 +96,7 @@
         } finally {
             leave(socket);
             sent.forEach(request -> request.ended(SoakRequest.End.LEFT));
-            requests.addAll(sent);
+            target.requests().addAll(sent);
         }
     }
 
@@ -152,7 +132,7 @@
         } finally {
             // What became of the second use may be anything; what the nodes got is checked.
             request.ended(SoakRequest.End.LEFT);
-            requests.add(request);
+            target.requests().add(request);
         }
     }
 
--- a/src/test/java/gladewing/soak/SoakRun.java
+++ b/src/test/java/gladewing/soak/SoakRun.java
@@ -141,40 +141,26 @@
     private void startClients(SoakFleet fleet, ExecutorService threads) {
         Random pipeliningSeeds = new Random(seed);
         for (SoakFleet.Router router : fleet.routers) {
+            long pipeliningSeed = pipeliningSeeds.nextLong();
             threads.execute(
                     new SoakPipeliningClient(
-                            "pipe" + router.index,
-                            router.index,
-                            router.port,
-                            pipeliningSeeds.nextLong(),
-                            requests,
-                            () -> isLoaded,
-                            router::isInFront));
+                            target("pipe" + router.index, router), pipeliningSeed));
             for (int i = 0; i < CLIENTS_PER_ROUTER; i++) {
-                threads.execute(
-                        new SoakClient(
-                                "r" + router.index + "c" + i,
-                                router.index,
-                                router.port,
-                                random.nextLong(),
-                                requests,
-                                () -> isLoaded,
-                                router::isInFront));
+                SoakTarget target = target("r" + router.index + "c" + i, router);
+                threads.execute(new SoakClient(target, random.nextLong()));
             }
             for (int i = 0; i < RUDE_CLIENTS_PER_ROUTER; i++) {
-                threads.execute(
-                        new SoakRudeClient(
-                                "rude" + router.index + "x" + i,
-                                router.index,
-                                router.port,
-                                random.nextLong(),
-                                requests,
-                                () -> isLoaded,
-                                router::isInFront));
+                SoakTarget target = target("rude" + router.index + "x" + i, router);
+                threads.execute(new SoakRudeClient(target, random.nextLong()));
             }
         }
     }
 
+    private SoakTarget target(String client, SoakFleet.Router router) {
+        return new SoakTarget(
+                client, router.index, router.port, requests, () -> isLoaded, router::isInFront);
+    }
+
     private void addCrowd(SoakFleet.Router router) {
         try {
             for (int i = 0; i < CROWD; i++) {
