--- a/src/test/java/gladewing/serve/EndedClientTest.java
+++ b/src/test/java/gladewing/serve/EndedClientTest.java
@@ -36,6 +36,8 @@
 
     private static final int REQUESTS_AT_ONCE = 300;
     private static final int LEAVING_CLIENTS = 3;
+    private static final int CROWD = 400;
+    private static final int DESCRIPTORS_FOR_CROWD = 1024;
 
     /** How many requests of 470 bytes are kept behind an open one, in 72 KB. */
     private static final int REQUESTS_KEPT = 150;
@@ -169,6 +171,33 @@
         assertServes("sound");
     }
 
+    /** Hundreds leave in one moment, with parts of all of them between two attempts. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void beginsNoPartForHundredsOfClientsThatLeaveTogether(End end) throws Exception {
+        maxOpen = 4 * CROWD;
+        startWithList(DESCRIPTORS_FOR_CROWD);
+        recordingA = new RecordingNode(nodeA, 2, "busy");
+        recordingB = new RecordingNode(nodeB, 2, "busy");
+        List<Client> crowd = new ArrayList<>();
+        for (int i = 0; i < CROWD; i++) {
+            crowd.add(new Client());
+        }
+        for (int i = 0; i < CROWD; i++) {
+            crowd.get(i).send(request("report", "crowd" + i, LONG_TIME_LIMIT));
+        }
+        Thread.sleep(100);
+        for (int i = 0; i < CROWD; i++) {
+            leave(crowd.get(i), end);
+            leftAt.put("crowd" + i, System.nanoTime());
+        }
+        Thread.sleep(1500);
+        assertEquals(List.of(), lateParts());
+        recordingA.answerBy(2, "ok");
+        recordingB.answerBy(2, "ok");
+        assertServes("sound");
+    }
+
     /** More was sent than the socket's buffers hold, so that the end comes behind unread bytes. */
     @Test
     void beginsNoPartForAClientThatLeftBehindMuchUnread() throws Exception {
