Record when requests that waited are refused for want of time

REQUEST_SENT_AHEAD counts every request that was refused while it waited behind others; which of them were refused since their client's time was nearly over could not be told. REQUEST_OVERDUE says so, with their number.

--- a/src/main/java/gladewing/clients/ClientConnection.java
+++ b/src/main/java/gladewing/clients/ClientConnection.java
@@ -198,7 +198,8 @@
     }
 
     private void refuseDue() {
-        requests.refuseDue(server.loop.enterPass());
+        int refused = requests.refuseDue(server.loop.enterPass());
+        server.events.record(Event.REQUEST_OVERDUE, this, refused);
         limitWaiting();
         turns.runInLaterPass();
     }
--- a/src/main/java/gladewing/clients/RequestBuffer.java
+++ b/src/main/java/gladewing/clients/RequestBuffer.java
@@ -128,8 +128,12 @@
         }
     }
 
-    /** Refuses the requests that are due, and those before them, as answers keep their order. */
-    void refuseDue(Time now) {
+    /**
+     * Refuses the requests that are due, and those before them, as answers keep their order.
+     *
+     * @return how many were refused
+     */
+    int refuseDue(Time now) {
         int due = 0;
         int number = 0;
         for (WaitingRequest request : complete) {
@@ -141,6 +145,7 @@
         for (int i = 0; i < due; i++) {
             refuseNext();
         }
+        return due;
     }
 
     /** The earliest deadline of all requests without an answer; null if none has one. */
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -10,8 +10,10 @@
     REQUEST_REFUSED,
     /** A request was refused, as its id is in use or must not run again. */
     REQUEST_ID_REPEATED,
-    /** A request was refused, as its client has sent more ahead than is kept. */
+    /** A request that waited behind others was refused, for want of room or of time. */
     REQUEST_SENT_AHEAD,
+    /** Requests that waited behind others are refused, as their client's time is nearly over. */
+    REQUEST_OVERDUE,
     /** A multiget was refused, as the open ones together held too much memory. */
     REQUEST_OVER_MEMORY,
     /** The value of a part was dropped, as the open multigets together held too much memory. */
