Serve no value that its frame's length cuts: judge the bytes behind a frame first

Cause: NodeConnection handed each frame on as soon as it was whole by its own length, and looked at the bytes behind it afterwards. These are what was cut off, and no frame; the connection was closed as spoilt, and the answer stayed. Ruled out: the length itself (within its bounds) and a change on the way to the client (frames of the right length arrive unchanged).

Change: nodes.IncomingFrames confirms a frame by the first line of the next one, or by a socket that holds nothing behind it, which is read once more at the end of the pass, before timers. What is not confirmed ends as BROKEN: it may have run, so a once-only part is not sent again. Bytes that come later put the transmission in flight again (QueryRouter.reopen) until they are judged, as long as its multiget is open. No sound answer waits for a timer. Discovery and the answers to the control service read responses by http.ResponseReader, in place of two copies: bytes behind or in front of a response make it fail; a second copy passed for the next call's response.

--- a/src/main/java/gladewing/control/AnswerConnection.java
+++ b/src/main/java/gladewing/control/AnswerConnection.java
@@ -1,9 +1,10 @@
 package gladewing.control;
 
-import gladewing.buffer.ConnectionBuffer;
 import gladewing.http.MessageReader;
+import gladewing.http.ResponseReader;
 import gladewing.loop.Loop;
 import gladewing.sockets.ConnectionAttempt;
+import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -22,10 +23,12 @@
     /** Called once: with null if the service accepted the answers, else with the reason. */
     private final Consumer<String> onEnd;
 
-    private final ConnectionBuffer received =
-            new ConnectionBuffer(MessageReader.MAX_BUFFERED_BYTES);
-    private final MessageReader responseReader = new MessageReader();
+    private final ResponseReader response = new ResponseReader(MessageReader.MAX_BODY_BYTES);
     private Channel channel;
+
+    /** Whether what has arrived is still to be read in this pass. */
+    private boolean isReadDue;
+
     private boolean ended;
 
     AnswerConnection(Loop loop, byte[] request, Consumer<String> onEnd) {
@@ -59,29 +62,33 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object read) {
-        loop.enterPass();
-        ByteBuf bytes = (ByteBuf) read;
-        boolean fitsBuffer;
-        try {
-            fitsBuffer = received.append(bytes);
-        } finally {
-            bytes.release();
+        response.append((ByteBuf) read);
+        if (!isReadDue) {
+            isReadDue = true;
+            loop.runAfterEvents(this::readResponse);
         }
-        MessageReader.Progress progress =
-                fitsBuffer ? responseReader.read(received) : MessageReader.Progress.INVALID;
-        if (progress == MessageReader.Progress.MESSAGE) {
-            end(
-                    responseReader.startLine().contains(" 200 ")
-                            ? null
-                            : "the control service responded with " + responseReader.startLine());
-        } else if (progress == MessageReader.Progress.INVALID) {
-            end("the response is not valid HTTP or is too large");
+    }
+
+    /** Reads what has arrived, once the socket holds nothing that belongs to no response. */
+    private void readResponse() {
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.readNow();
+        }
+        isReadDue = false;
+        switch (response.read()) {
+            case OK -> end(null);
+            case FAILED ->
+                    end("the control service sent no usable response: " + response.failure());
+            default -> {}
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         loop.enterPass();
+        if (isReadDue) {
+            readResponse();
+        }
         end("the connection was closed");
     }
 
--- a/src/main/java/gladewing/decisions/AcceptedMultiget.java
+++ b/src/main/java/gladewing/decisions/AcceptedMultiget.java
@@ -105,6 +105,14 @@
         }
     }
 
+    /** Drops the value of a part, which may not be sound; returns it. */
+    final String dropValue(int part) {
+        String value = values[part];
+        values[part] = null;
+        heldBytes -= valueBytes(value);
+        return value;
+    }
+
     /** The most memory that a value takes, in bytes. */
     public static long valueBytes(String value) {
         return (long) Character.BYTES * value.length();
--- a/src/main/java/gladewing/decisions/Decisions.java
+++ b/src/main/java/gladewing/decisions/Decisions.java
@@ -98,11 +98,44 @@
         transmission.multiget.recordEnd(result);
         transmission.multiget.handle.transmissionEnded(
                 transmission.part, transmission.number, result.outcome, took, load);
-        nodes.release(transmission.nodeIndex);
+        releaseNodeIndex(transmission);
         freeIfFinished(transmission.multiget);
         return actions;
     }
 
+    /**
+     * Reports that the answer to a transmission may not be sound, although its end was reported:
+     * the transmission is in flight again, and its end will be reported once more.
+     *
+     * @return the value that is dropped; null if nothing has changed, as the answer was used
+     *     already or was not needed
+     */
+    public String reopen(Transmission transmission) {
+        AcceptedMultiget multiget = transmission.multiget;
+        if (multiget.hasEnded || !multiget.handle.reopen(transmission.part, transmission.number)) {
+            return null;
+        }
+        multiget.inFlight++;
+        acquireNodeIndex(transmission);
+        return multiget.dropValue(transmission.part);
+    }
+
+    /** Holds the node's index again, unless the node has gone and lost its index meanwhile. */
+    private void acquireNodeIndex(Transmission transmission) {
+        Integer index = nodes.indexOf(transmission.node);
+        if (index != null && index == transmission.nodeIndex) {
+            nodes.acquire(index);
+            transmission.holdsNodeIndex = true;
+        }
+    }
+
+    private void releaseNodeIndex(Transmission transmission) {
+        if (transmission.holdsNodeIndex) {
+            transmission.holdsNodeIndex = false;
+            nodes.release(transmission.nodeIndex);
+        }
+    }
+
     /** Reports the end of a probe; each probe must be reported exactly once. */
     public Actions probeEnded(String node, CallResult result, NodeLoad load) {
         actions.clear();
--- a/src/main/java/gladewing/decisions/Transmission.java
+++ b/src/main/java/gladewing/decisions/Transmission.java
@@ -14,6 +14,9 @@
 
     final int nodeIndex;
 
+    /** Whether it keeps the index of its node from being given to another node. */
+    boolean holdsNodeIndex = true;
+
     public Transmission(
             AcceptedMultiget multiget,
             int part,
--- a/src/main/java/gladewing/discovery/DiscoveryConnection.java
+++ b/src/main/java/gladewing/discovery/DiscoveryConnection.java
@@ -1,8 +1,8 @@
 package gladewing.discovery;
 
-import gladewing.buffer.ConnectionBuffer;
-import gladewing.http.MessageReader;
+import gladewing.http.ResponseReader;
 import gladewing.sockets.ConnectionAttempt;
+import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -12,8 +12,6 @@
 
 /** One HTTP connection to discovery's agent; carries one request at a time. */
 final class DiscoveryConnection extends ChannelInboundHandlerAdapter {
-    private static final String OK = " 200 ";
-
     /**
      * Enough for 1,024 data nodes at 2 KiB each; some 500 bytes a node are usual where the list is
      * indented and names are long.
@@ -22,12 +20,13 @@
 
     private final DiscoveryWatcher watcher;
     private final String host;
-    private final ConnectionBuffer in =
-            new ConnectionBuffer(MessageReader.maxBufferedBytes(MAX_LIST_BYTES));
-    private final MessageReader response = new MessageReader(MAX_LIST_BYTES);
+    private final ResponseReader responses = new ResponseReader(MAX_LIST_BYTES);
     private Channel channel;
     private boolean isUp;
 
+    /** Whether what has arrived is still to be read in this pass. */
+    private boolean isReadDue;
+
     /** Path and query of the latest request. */
     private String path;
 
@@ -66,29 +65,37 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object read) {
-        watcher.loop.enterPass();
-        ByteBuf bytes = (ByteBuf) read;
-        boolean fits;
-        try {
-            fits = in.append(bytes);
-        } finally {
-            bytes.release();
+        responses.append((ByteBuf) read);
+        if (!isReadDue) {
+            isReadDue = true;
+            watcher.loop.runAfterEvents(this::readResponse);
+        }
+    }
+
+    /** Reads what has arrived, once the socket holds nothing that belongs to no response. */
+    private void readResponse() {
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.readNow();
         }
-        MessageReader.Progress progress = fits ? response.read(in) : MessageReader.Progress.INVALID;
-        if (progress == MessageReader.Progress.MESSAGE && !response.startLine().contains(OK)) {
-            watcher.failed(this, "unexpected response: " + response.startLine());
-        } else if (progress == MessageReader.Progress.MESSAGE) {
-            byte[] body = response.body();
-            boolean isKeptAlive = response.isKeepAlive();
-            response.startNextMessage();
-            watcher.answered(this, body, isKeptAlive);
-        } else if (progress == MessageReader.Progress.INVALID) {
-            watcher.failed(this, "malformed or oversized response");
+        isReadDue = false;
+        switch (responses.read()) {
+            case OK -> {
+                byte[] body = responses.body();
+                boolean isKeptAlive = responses.isKeepAlive();
+                responses.startNextResponse();
+                watcher.answered(this, body, isKeptAlive);
+            }
+            case FAILED -> watcher.failed(this, responses.failure());
+            default -> {}
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        watcher.loop.enterPass();
+        if (isReadDue) {
+            readResponse();
+        }
         watcher.failed(this, "connection closed");
     }
 
--- a/src/main/java/gladewing/events/Event.java
+++ b/src/main/java/gladewing/events/Event.java
@@ -39,6 +39,8 @@
     NODE_CLOSED_WHEN_IDLE,
     NODE_CLOSED_ON_ERROR,
     NODE_PROTOCOL_ERROR,
+    /** An answer that was counted is awaited again, as the bytes behind it are no sound frame. */
+    NODE_ANSWER_REOPENED,
 
     /** A transmission was handed to a connection; a part may have several. */
     TRANSMISSION_SENT,
--- a/src/main/java/gladewing/frames/FrameReader.java
+++ b/src/main/java/gladewing/frames/FrameReader.java
@@ -35,14 +35,14 @@
 
     /** Reads one frame and removes it from the buffer, if all of it has arrived. */
     public Progress read(ConnectionBuffer in) {
+        long length = leastLength(in);
+        if (length > MAX_FRAME_LENGTH) {
+            return Progress.MALFORMED;
+        }
         if (in.size() < LENGTH_BYTES) {
             return Progress.INCOMPLETE;
         }
-        long length = 0;
-        for (int i = LENGTH_BYTES - 1; i >= 0; i--) {
-            length = length << 8 | in.byteAt(i) & 0xff;
-        }
-        if (length < 1 || length > MAX_FRAME_LENGTH) {
+        if (length < 1) {
             return Progress.MALFORMED;
         }
         if (in.size() < LENGTH_BYTES + length) {
@@ -54,6 +54,33 @@
         return Progress.FRAME;
     }
 
+    /** The length that the bytes give, or the least that they can give while some are missing. */
+    private static long leastLength(ConnectionBuffer in) {
+        long length = 0;
+        for (int i = Math.min(LENGTH_BYTES, in.size()) - 1; i >= 0; i--) {
+            length = length << 8 | in.byteAt(i) & 0xff;
+        }
+        return length;
+    }
+
+    /** Returns the type of a frame that has begun to arrive, or 0 while its type has not. */
+    public static char startedType(ConnectionBuffer in) {
+        return in.size() <= LENGTH_BYTES ? 0 : (char) (in.byteAt(LENGTH_BYTES) & 0xff);
+    }
+
+    /**
+     * Returns what has arrived of the payload of a frame up to the end of its first line, without
+     * that end, or null while the line is not complete.
+     */
+    public static byte[] startedLine(ConnectionBuffer in) {
+        if (in.size() <= LENGTH_BYTES) {
+            return null;
+        }
+        int lineStart = LENGTH_BYTES + 1;
+        int lineEnd = in.indexOf((byte) '\n', lineStart);
+        return lineEnd < 0 ? null : in.copy(lineStart, lineEnd - lineStart);
+    }
+
     /**
      * Whether the bytes may be the start of a frame. Bytes that are not would otherwise be waited
      * on until the length that they seem to give has arrived, which may never happen.
@@ -62,7 +89,7 @@
         if (in.size() == LENGTH_BYTES) {
             return true;
         }
-        char startedType = (char) (in.byteAt(LENGTH_BYTES) & 0xff);
+        char startedType = startedType(in);
         return NodeFrames.TYPES.indexOf(startedType) >= 0
                 && (startedType != NodeFrames.ANSWER
                         || in.size() < MAX_LINE_LENGTH
--- a/src/main/java/gladewing/frames/NodeFrames.java
+++ b/src/main/java/gladewing/frames/NodeFrames.java
@@ -32,6 +32,9 @@
     /** All types. */
     static final String TYPES = "QXPLAE";
 
+    /** The types that a node sends. */
+    public static final String TYPES_OF_NODES = "PLAE";
+
     /**
      * One part of a call.
      *
--- a/src/main/java/gladewing/loop/Loop.java
+++ b/src/main/java/gladewing/loop/Loop.java
@@ -44,6 +44,7 @@
     private final EventLoop thread;
     private final TimerQueue timers = new TimerQueue();
     private final Set<Channel> channelsToFlush = new LinkedHashSet<>();
+    private final List<Runnable> afterEvents = new ArrayList<>();
     private PassListener listener;
     private boolean isInPass;
     private Time now = readClock();
@@ -122,12 +123,33 @@
         return readClock().since(began);
     }
 
+    /**
+     * Runs a task once the events of the current pass have been handled, before the timers that are
+     * due. Begins a pass unless one is going on.
+     */
+    public void runAfterEvents(Runnable task) {
+        enterPass();
+        afterEvents.add(task);
+    }
+
+    private void runAfterEventsTasks() {
+        List<Runnable> tasks = new ArrayList<>(afterEvents);
+        afterEvents.clear();
+        tasks.forEach(this::runGuarded);
+    }
+
     private void endPass() {
+        runAfterEventsTasks();
         // Timers run after the events, so that an answer that arrived in time does not time out
         // because this program was stalled.
         timers.runDue(now, this::runGuarded);
+        // A timer may have read a socket.
+        runAfterEventsTasks();
         runGuarded(listener::passEnded);
         isInPass = false;
+        if (!afterEvents.isEmpty()) {
+            runInLaterPass(() -> {});
+        }
         List<Channel> toFlush = new ArrayList<>(channelsToFlush);
         channelsToFlush.clear();
         toFlush.forEach(Channel::flush);
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -404,6 +404,27 @@
         end(part, result, result == CallResult.ANSWERED ? answer.value() : null, answer.load());
     }
 
+    /**
+     * Waits again for the answer to a part that was reported as answered; its time-out goes on.
+     * Returns its value, or null if the answer has been used already.
+     */
+    String reopen(InFlightTransmission part) {
+        String value = listener.transmissionReopened(part.transmission);
+        if (value == null) {
+            return null;
+        }
+        events.record(Event.NODE_ANSWER_REOPENED, part.id, part.transmission.node);
+        part.isEnded = false;
+        part.endedAt = null;
+        inFlight.put(part.transmission, part);
+        Span elapsed = loop.enterPass().since(part.sentAt);
+        part.timeoutTimer =
+                loop.schedule(
+                        Span.longest(Span.ZERO, part.transmission.timeout.minus(elapsed)),
+                        () -> end(part, CallResult.TIMED_OUT, null, null));
+        return value;
+    }
+
     void notSent(InFlightTransmission part) {
         end(part, CallResult.NOT_SENT, null, null);
     }
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -1,14 +1,11 @@
 package gladewing.nodes;
 
-import gladewing.buffer.ConnectionBuffer;
 import gladewing.events.Event;
-import gladewing.frames.FrameReader;
 import gladewing.frames.NodeFrames;
 import gladewing.frames.PartAnswer;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryHolder;
 import gladewing.loop.Loop;
-import gladewing.loop.Timer;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.sockets.ConnectionAttempt;
@@ -32,15 +29,14 @@
  * One connection to a data node: tracks the transmissions and probes in flight on it, holds back
  * writes until it is up, and handles the frames that the node sends.
  */
-final class NodeConnection extends ChannelInboundHandlerAdapter implements MemoryHolder {
+final class NodeConnection extends ChannelInboundHandlerAdapter
+        implements MemoryHolder, IncomingFrames.Receiver {
     private static final Logger LOG = Logger.getLogger(NodeConnection.class.getName());
 
     private final NodeClient client;
     private final ConnectionPool pool;
     final NodeIncarnation incarnation;
-    private final ConnectionBuffer received =
-            new ConnectionBuffer(FrameReader.MAX_FRAME_LENGTH + 64 * 1024);
-    private final FrameReader frameReader = new FrameReader();
+    private final IncomingFrames frames;
 
     /**
      * Transmissions that the node still has to answer, by part id. Where withdrawals are not
@@ -56,6 +52,10 @@
 
     private final Deque<Probe> probes = new ArrayDeque<>();
     private final List<Runnable> writesOnceUp = new ArrayList<>();
+
+    /** The transmission that was answered last on this connection; null if that was forgotten. */
+    private InFlightTransmission lastAnswered;
+
     private Channel channel;
     private boolean isUp;
     private boolean isClosed;
@@ -81,8 +81,8 @@
     /** Since when part of a frame has been received; null if there is none. */
     private Time incompleteSince;
 
-    /** Closes the connection if the rest of a frame that has begun to arrive does not follow. */
-    private Timer incompleteFrameTimer;
+    /** Whether the socket is read once more in this pass, before frames are handed on. */
+    private boolean isSecondReadDue;
 
     Time lastUsedAt;
 
@@ -91,6 +91,7 @@
         this.pool = pool;
         this.incarnation = pool.incarnation;
         this.lastUsedAt = client.loop.enterPass();
+        this.frames = new IncomingFrames(client.loop, client.options.connectTimeout(), this);
     }
 
     /** Sets the channel, which may not be connected yet. */
@@ -273,6 +274,9 @@
      * arrived by then.
      */
     void forgetWithdrawn(Time timedOutBefore, Time withdrawnBefore) {
+        if (lastAnswered != null && lastAnswered.transmission.multiget.hasEnded()) {
+            lastAnswered = null;
+        }
         withdrawn
                 .values()
                 .removeIf(
@@ -290,17 +294,17 @@
     }
 
     private void countMemory() {
-        client.memory.adjust(received.capacity() - countedBytes);
-        countedBytes = received.capacity();
+        client.memory.adjust(frames.heldBytes() - countedBytes);
+        countedBytes = frames.heldBytes();
         incompleteSince =
-                received.size() == 0
+                !frames.hasIncompleteFrame()
                         ? null
                         : incompleteSince == null ? lastUsedAt : incompleteSince;
     }
 
     @Override
     public long releasableBytes() {
-        return isClosed ? 0 : received.capacity();
+        return isClosed ? 0 : frames.heldBytes();
     }
 
     @Override
@@ -311,7 +315,7 @@
     /** Closes the connection, which gives back what it has received of an incomplete frame. */
     @Override
     public void giveWay() {
-        protocolError("connections to data nodes hold too much memory");
+        framesFailed("connections to data nodes hold too much memory");
     }
 
     void close() {
@@ -337,93 +341,86 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         lastUsedAt = client.loop.enterPass();
-        readFrames((ByteBuf) message);
+        frames.read((ByteBuf) message);
+        if (!isSecondReadDue && !isClosed) {
+            isSecondReadDue = true;
+            client.loop.runAfterEvents(this::readAgain);
+        }
         countMemory();
         client.limitMemory();
     }
 
-    private void readFrames(ByteBuf bytes) {
-        try {
-            if (isClosed || !received.append(bytes)) {
-                protocolError("receive buffer overflow");
-                return;
-            }
-        } finally {
-            bytes.release();
-        }
-        FrameReader.Progress progress = frameReader.read(received);
-        while (progress == FrameReader.Progress.FRAME && !isClosed) {
-            String error = handleFrame(frameReader.type());
-            if (error != null) {
-                protocolError(error);
-                return;
-            }
-            progress = frameReader.read(received);
-        }
-        if (progress == FrameReader.Progress.MALFORMED) {
-            protocolError("malformed frame");
-        } else if (received.size() == 0) {
-            stopIncompleteFrameTimer();
-        } else if (incompleteFrameTimer == null && !isClosed) {
-            // With a wrong, too large length, everything that follows would count as part of the
-            // frame, and nothing on the connection would ever end.
-            incompleteFrameTimer =
-                    client.loop.schedule(
-                            client.options.connectTimeout(),
-                            () -> protocolError("the rest of a frame did not arrive in time"));
+    /**
+     * Reads what has arrived since the socket was read in this pass. What a frame lacks because its
+     * length is too short may have come in a segment of its own.
+     */
+    private void readAgain() {
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.readNow();
         }
+        isSecondReadDue = false;
+        frames.socketEmptied();
+        countMemory();
+    }
+
+    @Override
+    public boolean awaitsAnswer(String partId) {
+        return inFlight.containsKey(partId) || withdrawn.containsKey(partId);
+    }
+
+    @Override
+    public int awaitedProbes() {
+        return probes.size();
     }
 
-    private void stopIncompleteFrameTimer() {
-        if (incompleteFrameTimer != null) {
-            incompleteFrameTimer.cancel();
-            incompleteFrameTimer = null;
+    @Override
+    public void answerReceived(PartAnswer answer) {
+        incompleteSince = null;
+        lastAnswered = null;
+        InFlightTransmission answered = inFlight.remove(answer.id());
+        withdrawn.remove(answer.id());
+        if (answered != null && !answered.isEnded) {
+            awaitedTransmissions--;
+            client.answered(answered, answer);
+            lastAnswered = answer.status().equals(PartAnswer.OK) ? answered : null;
         }
+        frameReceived();
     }
 
-    /** Handles the frame that was read; returns what is wrong with it, or null. */
-    private String handleFrame(char type) {
-        stopIncompleteFrameTimer();
+    @Override
+    public void probeAnswerReceived(String report) {
         incompleteSince = null;
-        String error = dispatchFrame(type);
+        lastAnswered = null;
+        Probe probe = probes.poll();
+        if (probe != null) {
+            client.probeAnswered(probe, report);
+        }
         frameReceived();
-        return error;
-    }
-
-    private String dispatchFrame(char type) {
-        switch (type) {
-            case NodeFrames.ANSWER:
-                PartAnswer answer = PartAnswer.parse(frameReader.payload());
-                if (answer == null) {
-                    return "malformed answer";
-                }
-                InFlightTransmission answered = inFlight.remove(answer.id());
-                if (withdrawn.remove(answer.id()) == null && answered == null) {
-                    return "answer to a part that is not in flight";
-                }
-                if (answered != null && !answered.isEnded) {
-                    awaitedTransmissions--;
-                    client.answered(answered, answer);
-                }
-                return null;
-            case NodeFrames.PROBE, NodeFrames.LOAD_PROBE:
-                Probe probe = probes.poll();
-                if (probe == null) {
-                    return "answer to a probe that was not sent";
-                }
-                client.probeAnswered(probe, frameReader.payloadText().strip());
-                return null;
-            case NodeFrames.ERROR:
-                return "the node reported an error: " + frameReader.payloadText();
-            default:
-                return "unknown frame type " + (int) type;
+    }
+
+    @Override
+    public PartAnswer takeBackLastAnswer() {
+        InFlightTransmission reopened = lastAnswered;
+        lastAnswered = null;
+        if (reopened == null || inFlight.containsKey(reopened.id)) {
+            return null;
+        }
+        String value = client.reopen(reopened);
+        if (value == null) {
+            return null;
         }
+        reopened.connection = this;
+        inFlight.put(reopened.id, reopened);
+        awaitedTransmissions++;
+        return new PartAnswer(reopened.id, PartAnswer.OK, null, value);
     }
 
-    private void protocolError(String reason) {
+    @Override
+    public void framesFailed(String reason) {
         if (!isClosed) {
             client.events.record(Event.NODE_PROTOCOL_ERROR, this, reason);
             LOG.warning("connection to data node " + incarnation.address() + " closed: " + reason);
+            frames.close();
             close();
             connectionLost();
         }
@@ -438,15 +435,15 @@
             return;
         }
         isClosed = true;
-        stopIncompleteFrameTimer();
         client.loop.enterPass();
+        frames.connectionEnded();
         client.remove(this, awaitedTransmissions > 0);
         new ArrayList<>(inFlight.values()).forEach(client::connectionLost);
         probes.forEach(client::connectionLost);
         inFlight.clear();
         probes.clear();
         writesOnceUp.clear();
-        received.clear();
+        lastAnswered = null;
         countMemory();
     }
 
--- a/src/main/java/gladewing/nodes/NodeEventListener.java
+++ b/src/main/java/gladewing/nodes/NodeEventListener.java
@@ -6,8 +6,8 @@
 import gladewing.router.Span;
 
 /**
- * Is notified of the end of each transmission and each probe, exactly once and within a pass of the
- * loop.
+ * Is notified of the end of each transmission and each probe, within a pass of the loop and exactly
+ * once, but for a transmission that was reopened, which ends once more.
  */
 public interface NodeEventListener {
     /**
@@ -21,6 +21,15 @@
     void transmissionEnded(
             Transmission transmission, CallResult end, Span elapsed, String value, NodeLoad load);
 
+    /**
+     * The answer to a transmission that has ended may be cut short or spoilt: bytes that are not
+     * known to be a frame have arrived behind it. It is in flight again until they are.
+     *
+     * @return the value of the answer; null if it was used already or not needed, and nothing
+     *     changes
+     */
+    String transmissionReopened(Transmission transmission);
+
     /**
      * A probe has ended.
      *
--- a/src/main/java/gladewing/router/Multiget.java
+++ b/src/main/java/gladewing/router/Multiget.java
@@ -117,6 +117,16 @@
                 parts.get(part).transmissions.get(transmission), outcome, took, load);
     }
 
+    /**
+     * Reports that a transmission whose end was reported as {@link TransmissionOutcome#OK} is in
+     * flight again, as its answer may not be sound.
+     *
+     * @return false if nothing has changed, as its answer was used already or was not needed
+     */
+    public boolean reopen(int part, int transmission) {
+        return router.reopen(parts.get(part).transmissions.get(transmission));
+    }
+
     /** Brings the deadline forward: the final answer is given by this time at the latest. */
     public void limitDeadline(Time latest) {
         deadline = latest.before(deadline) ? latest : deadline;
@@ -150,8 +160,9 @@
         waitingParts += part.index >= firstPartOfStep ? delta : 0;
     }
 
-    void partAnswered(Part part) {
+    void partAnswered(Part part, TransmissionState transmission) {
         part.isAnswered = true;
+        part.answeredBy = transmission;
         adjustWaitingParts(part, part.inFlight == 0 ? -1 : 0);
         if (part.index >= firstPartOfStep) {
             answeredParts++;
@@ -159,6 +170,15 @@
         }
     }
 
+    /** Takes back {@link #partAnswered}. */
+    void partReopened(Part part) {
+        part.isAnswered = false;
+        part.answeredBy = null;
+        adjustWaitingParts(part, part.inFlight == 0 ? 1 : 0);
+        answeredParts--;
+        answeredWeight -= part.weight;
+    }
+
     void startNextStep(boolean isWhole) {
         isFirstStepWhole = isWhole;
         assignments.clear();
--- a/src/main/java/gladewing/router/Part.java
+++ b/src/main/java/gladewing/router/Part.java
@@ -22,6 +22,9 @@
 
     boolean isAnswered;
 
+    /** The transmission whose answer counts; null while the part is not answered. */
+    TransmissionState answeredBy;
+
     /** Whether the part is in a tentative assignment, waiting to be sent. */
     boolean isAssigned;
 
--- a/src/main/java/gladewing/router/QueryRouter.java
+++ b/src/main/java/gladewing/router/QueryRouter.java
@@ -942,7 +942,7 @@
             transmission.node.probeLoadLevel = 0;
             recordSuccess(transmission, took);
             if (!multiget.hasEnded && !transmission.part.isAnswered) {
-                multiget.partAnswered(transmission.part);
+                multiget.partAnswered(transmission.part, transmission);
                 withdrawTransmissions(transmission.part);
                 if (isWhole(multiget)) {
                     answer(multiget);
@@ -956,6 +956,26 @@
         }
     }
 
+    /**
+     * Takes back the answer of a transmission, which may not be sound: it is in flight again. Only
+     * the answer that a part of the current step counts as its own can be taken back.
+     *
+     * @return whether the answer was taken back
+     */
+    boolean reopen(TransmissionState transmission) {
+        Part part = transmission.part;
+        Multiget multiget = part.multiget;
+        if (multiget.hasEnded
+                || part.answeredBy != transmission
+                || part.index < multiget.firstPartOfStep) {
+            return false;
+        }
+        multiget.partReopened(part);
+        transmission.reopened();
+        inFlight.add(transmission);
+        return true;
+    }
+
     /** Updates the node's circuit breaker and concurrency limit after an answer. */
     private void recordSuccess(TransmissionState transmission, Span took) {
         DataNode node = transmission.node;
--- a/src/main/java/gladewing/router/TransmissionState.java
+++ b/src/main/java/gladewing/router/TransmissionState.java
@@ -41,4 +41,11 @@
         node.inFlight--;
         part.multiget.adjustWaitingParts(part, --part.inFlight == 0 && !part.isAnswered ? 1 : 0);
     }
+
+    /** Takes back {@link #ended}, once the part does not count as answered any more. */
+    void reopened() {
+        isInFlight = true;
+        node.inFlight++;
+        part.multiget.adjustWaitingParts(part, part.inFlight++ == 0 ? -1 : 0);
+    }
 }
--- a/src/main/java/gladewing/serve/RouterRuntime.java
+++ b/src/main/java/gladewing/serve/RouterRuntime.java
@@ -417,6 +417,14 @@
         carryOut(actions);
     }
 
+    @Override
+    public String transmissionReopened(Transmission transmission) {
+        long bytesBefore = transmission.multiget.heldBytes();
+        String value = decisions.reopen(transmission);
+        multigetMemory.changed(transmission.multiget, bytesBefore);
+        return value;
+    }
+
     @Override
     public void probeEnded(String node, CallResult result, NodeLoad load) {
         carryOut(decisions.probeEnded(node, result, load));
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -23,19 +23,26 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Transmissions and probes over real connections to a data node that the test plays. */
@@ -47,6 +54,7 @@
     private final EventLoop thread = group.next();
     private final BlockingQueue<String> endsReported = new LinkedBlockingQueue<>();
     private final Queue<LifecycleRules.Violation> violations = new ConcurrentLinkedQueue<>();
+    private final Map<Transmission, String> values = new ConcurrentHashMap<>();
     private final StringBuilder trace = new StringBuilder();
     private NodeClient client;
     private static final int PARTIAL_ANSWER_BYTES = 32 * 1024;
@@ -61,10 +69,19 @@
     @Override
     public void transmissionEnded(
             Transmission t, CallResult end, Span elapsed, String value, NodeLoad load) {
+        if (value != null) {
+            values.put(t, value);
+        }
         endsReported.add(
                 t.multiget.id + "." + t.part + " " + end + (value == null ? "" : " " + value));
     }
 
+    @Override
+    public String transmissionReopened(Transmission t) {
+        endsReported.add(t.multiget.id + "." + t.part + " reopened");
+        return values.get(t);
+    }
+
     @Override
     public void probeEnded(String node, CallResult end, NodeLoad load) {
         endsReported.add(
@@ -555,4 +572,183 @@
             assertEquals(Trace.expected("nodes-probes.txt"), trace.toString());
         }
     }
+
+    /** A value whose end looks like the head of a frame, and one that ends in plain text. */
+    private static final String HEAD_LIKE_END = "plain text\4\0\0\0A1.0";
+
+    private static byte[] answerLacking(int lengthLacks, String id, String value) {
+        byte[] frame = answer(id, value);
+        frame[0] -= lengthLacks;
+        return frame;
+    }
+
+    private static byte[] answer(String id, String value) {
+        byte[] payload = ("A" + id + " ok 17 -\n" + value).getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(4 + payload.length)
+                .order(ByteOrder.LITTLE_ENDIAN)
+                .putInt(payload.length)
+                .put(payload)
+                .array();
+    }
+
+    private static byte[] joined(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            all.writeBytes(part);
+        }
+        return all.toByteArray();
+    }
+
+    /**
+     * Guards against a value that is passed on without its last bytes, as the length of its frame
+     * is too short: what is cut off comes right behind the frame, and is no frame.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9})
+    void answerWithATooShortLengthIsBroken(int lacking) throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG, Span.ofMillis(200));
+            putNode("n", node.port());
+            for (String value : List.of("a value of plain text", HEAD_LIKE_END)) {
+                transmit(to("n", Trace.silentMultiget("1", 2, 0), 0, LONG));
+                node.nextFrame().writeBytes(answerLacking(lacking, "1.0", value));
+                recordNextEnd();
+            }
+            assertEquals("end: 1.0 BROKEN\n".repeat(2), trace.toString());
+        }
+    }
+
+    /** Guards the answers in front of a spoilt one: each is confirmed by the next frame's line. */
+    @Test
+    void lastOfSeveralAnswersInAReadIsBrokenAlone() throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG);
+            putNode("n", node.port());
+            AcceptedMultiget multiget = Trace.silentMultiget("1", 2, 0, 1);
+            transmit(to("n", multiget, 0, LONG), to("n", multiget, 1, LONG));
+            node.nextFrame()
+                    .writeBytes(joined(answer("1.0", "one"), answerLacking(5, "1.1", "second")));
+            recordNextEnd();
+            recordNextEnd();
+            assertEquals("end: 1.0 ANSWERED one\nend: 1.1 BROKEN\n", trace.toString());
+        }
+    }
+
+    /**
+     * Guards against a cut value that is used although what it lacks arrives, in a read of its own,
+     * while the multiget is open: its part is in flight again, and ends as broken.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 4, 8})
+    void answerIsTakenBackWhenWhatItLacksArrivesLater(int lacking) throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG, Span.ofMillis(200));
+            putNode("n", node.port());
+            AcceptedMultiget multiget = Trace.silentMultiget("1", 2, 0);
+            transmit(to("n", multiget, 0, LONG));
+            byte[] frame = answerLacking(lacking, "1.0", "a value of plain text");
+            FakeDataNode.Frame call = node.nextFrame();
+            call.writeBytes(Arrays.copyOf(frame, frame.length - lacking));
+            assertTrue(endsReported.poll(30, TimeUnit.SECONDS).startsWith("1.0 ANSWERED a val"));
+            call.writeBytes(Arrays.copyOfRange(frame, frame.length - lacking, frame.length));
+            recordNextEnd();
+            recordNextEnd();
+            assertEquals("end: 1.0 reopened\nend: 1.0 BROKEN\n", trace.toString());
+        }
+    }
+
+    /** Guards against a sound answer that is lost as the frame behind it arrives in pieces. */
+    @Test
+    void answerThatWasTakenBackCountsAgainOnceTheFrameBehindItIsSound() throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG);
+            putNode("n", node.port());
+            AcceptedMultiget multiget = Trace.silentMultiget("1", 2, 0, 1);
+            transmit(to("n", multiget, 0, LONG), to("n", multiget, 1, LONG));
+            FakeDataNode.Frame call = node.nextFrame();
+            call.writeBytes(answer("1.0", "one"));
+            recordNextEnd();
+            byte[] second = answer("1.1", "two");
+            call.writeBytes(Arrays.copyOf(second, 3));
+            recordNextEnd();
+            call.writeBytes(Arrays.copyOfRange(second, 3, second.length));
+            recordNextEnd();
+            recordNextEnd();
+            assertEquals(
+                    "end: 1.0 ANSWERED one\nend: 1.0 reopened\n"
+                            + "end: 1.0 ANSWERED one\nend: 1.1 ANSWERED two\n",
+                    trace.toString());
+        }
+    }
+
+    /** A second answer to a part costs the connection, and not the first answer, which is good. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 4, 12, 16})
+    void secondAnswerConfirmsTheFirst(int bytesInTheSameRead) throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG);
+            putNode("n", node.port());
+            transmit(to("n", Trace.silentMultiget("1", 2, 0), 0, LONG));
+            FakeDataNode.Frame call = node.nextFrame();
+            byte[] first = answer("1.0", "one");
+            byte[] both = joined(first, answer("1.0", "one"));
+            int firstRead = first.length + bytesInTheSameRead;
+            call.writeBytes(Arrays.copyOf(both, firstRead));
+            Thread.sleep(20);
+            call.writeBytes(Arrays.copyOfRange(both, firstRead, both.length));
+            recordNextEnd();
+            assertTrue(call.awaitClosed());
+            assertEquals("end: 1.0 ANSWERED one\n", trace.toString());
+            assertTrue(endsReported.isEmpty());
+        }
+    }
+
+    /** Guards against the load of a probe whose answer is cut, such as 1 for 1234. */
+    @Test
+    void probeAnswerWithATooShortLengthIsBroken() throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG, Span.ofMillis(200));
+            putNode("n", node.port());
+            run(() -> client.probe("n"));
+            node.nextFrame()
+                    .writeBytes("\12\0\0\0Lpending=1234".getBytes(StandardCharsets.US_ASCII));
+            recordNextEnd();
+            assertEquals("end: probe of n BROKEN\n", trace.toString());
+        }
+    }
+
+    /**
+     * Guards against a part that is sent again because its node said, in a spoilt frame, "busy".
+     */
+    @Test
+    void spoiltBusyAnswerDoesNotProveThatThePartHasNotRun() throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG);
+            putNode("n", node.port());
+            transmit(to("n", Trace.silentMultiget("1", 2, 0), 0, LONG));
+            byte[] busy = "\17\0\0\0A1.0 busy 17 -\nnoise".getBytes(StandardCharsets.US_ASCII);
+            node.nextFrame().writeBytes(busy);
+            recordNextEnd();
+            assertEquals("end: 1.0 BROKEN\n", trace.toString());
+        }
+    }
+
+    /**
+     * A connection that ends behind a whole answer ends it; one that ends within a tail does not.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, ANSWERED one", "1, BROKEN"})
+    void endOfTheConnectionConfirmsOnlyWhatHasNothingBehindIt(int lacking, String end)
+            throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG);
+            putNode("n", node.port());
+            transmit(to("n", Trace.silentMultiget("1", 2, 0), 0, LONG));
+            FakeDataNode.Frame call = node.nextFrame();
+            call.writeBytes(answerLacking(lacking, "1.0", "one"));
+            call.close();
+            recordNextEnd();
+            assertEquals("end: 1.0 " + end + "\n", trace.toString());
+        }
+    }
 }
--- a/src/test/java/gladewing/router/QueryRouterTest.java
+++ b/src/test/java/gladewing/router/QueryRouterTest.java
@@ -1,5 +1,8 @@
 package gladewing.router;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
 
@@ -82,6 +85,34 @@
         trace.assertMatches("once-only");
     }
 
+    /**
+     * Guards against an answer that counts although what comes behind it shows that it is spoilt:
+     * the part is in flight again, and one that is once-only is then neither sent again nor
+     * answered.
+     */
+    @Test
+    void answerThatIsTakenBackDoesNotCount() throws IOException {
+        trace.effect = Settings.Effect.ONCE_ONLY;
+        trace.start().nodes(0, 1, 2);
+        Multiget multiget = trace.accept(3000, 0, 2);
+        trace.advanceTo(10).note("taken back, and then confirmed");
+        answer(multiget, 0, 0, 10);
+        assertTrue(multiget.reopen(0, 0));
+        trace.advanceTo(20);
+        answer(multiget, 1, 0, 20);
+        trace.advanceTo(30);
+        answer(multiget, 0, 0, 30);
+        assertFalse(multiget.reopen(0, 0), "the multiget has its final answer");
+        Multiget spoilt = trace.accept(3000, 0, 2);
+        trace.advanceTo(40).note("taken back, and spoilt: it may have run");
+        answer(spoilt, 0, 0, 10);
+        assertTrue(spoilt.reopen(0, 0));
+        assertFalse(spoilt.reopen(0, 0), "it is in flight");
+        spoilt.transmissionEnded(0, 0, TransmissionOutcome.RESET, Span.ofMillis(10), null);
+        trace.advanceTo(2000);
+        trace.assertMatches("taken-back");
+    }
+
     /** After the deduplication window a data node would run a repeated part a second time. */
     @Test
     void taggedIsResentOnlyWithinItsWindow() throws IOException {
--- a/src/test/java/gladewing/serve/ServeTest.java
+++ b/src/test/java/gladewing/serve/ServeTest.java
@@ -236,6 +236,37 @@
         assertTrace("serve-bad-frames.txt");
     }
 
+    /**
+     * Guards against a client that is served a value without its last bytes, as its length is too
+     * short: in one read with what is cut off, and with that in a read of its own while another
+     * part is open. A once-only part that was answered so may have run, and is not sent again.
+     */
+    @Test
+    void servesNoValueThatIsCutByItsLength() throws Exception {
+        startWithList();
+        Client client = new Client();
+        client.sendMultiget("report", "r1", 0);
+        byte[] cut = "\17\0\0\0Ar1.0 ok 1 -\nzero and more".getBytes(StandardCharsets.US_ASCII);
+        nodeA.nextFrame().writeBytes(cut);
+        nodeA.nextFrame().answer("r1.0", "ok", "zero and more");
+        record("cut, in one read", client.readResponse());
+        client.sendMultiget("report", "r2", 0, 1);
+        FakeDataNode.Frame toA = nodeA.nextFrame();
+        toA.answer("r2.0", "ok", "two");
+        Thread.sleep(100);
+        toA.writeBytes(" and more".getBytes(StandardCharsets.US_ASCII));
+        FakeDataNode.Frame again = nodeA.nextFrame();
+        nodeB.nextFrame().answer("r2.1", "ok", "one");
+        again.answer("r2.0", "ok", "two and more");
+        record("cut, in two reads", client.readResponse());
+        client.sendMultiget("order", "o3", 0);
+        nodeA.nextFrame()
+                .writeBytes("\17\0\0\0Ao3.0 ok 1 -\ndone and".getBytes(StandardCharsets.US_ASCII));
+        record("cut, once-only", client.readResponse());
+        assertTrue(nodeA.hasNoFrames());
+        assertTrace("serve-cut-values.txt");
+    }
+
     /** An invalid request gets an error status, and the router goes on serving others. */
     @Test
     void rejectsInvalidRequestsWithoutEffectOnOthers() throws Exception {
