Tell a live session what may be lost at every end of a leg, also after a node's close

Cause: NodeSocket.finish took a close frame of the node, with any code and also one that crosses the router's own, for proof that the node had taken all. Ruled out: MessageTracker.takeLost (it returns the range), and a client's side that drops the notice (the session is open).

Change: taken is what is acknowledged, or what the node has shown to have read: a ping goes out right before the router's close frame, and a node that has sent a close frame answers no ping any more. So crossing closes are told, and a move in order has no notice although acks are late.

--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -22,6 +22,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.logging.Logger;
 
 /**
@@ -30,6 +31,12 @@
 final class NodeSocket extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(NodeSocket.class.getName());
 
+    /**
+     * Payload of the ping before a close frame. A node that answers it has read everything before
+     * it; one that has sent a close frame of its own answers no ping any more.
+     */
+    private static final byte[] PING_BEFORE_CLOSE = "close".getBytes(StandardCharsets.US_ASCII);
+
     private enum State {
         OPENING,
         OPEN,
@@ -55,7 +62,11 @@
     /** Whether the messages of the shards are sent on this connection. */
     private boolean isSending;
 
-    private boolean closeReceived;
+    /**
+     * Whether the node has read all that was sent to it, as it has answered the ping that was sent
+     * before the close frame. Its own close proves nothing: it may have crossed what was sent.
+     */
+    private boolean hasReadAll;
 
     /** Whether reading is paused because the client does not read. */
     private boolean isPaused;
@@ -173,8 +184,11 @@
                                     decoder.payload(), SessionMessages.maskingKey(server.random)));
                 }
             }
+            case PONG ->
+                    hasReadAll |=
+                            state == State.CLOSING
+                                    && Arrays.equals(decoder.payload(), PING_BEFORE_CLOSE);
             case CLOSE -> {
-                closeReceived = true;
                 if (state == State.OPEN && maySend()) {
                     write(
                             FrameEncoder.close(
@@ -319,6 +333,11 @@
         if (state == State.OPEN) {
             state = State.CLOSING;
             deadline = server.now() + server.settings.closeTimeout();
+            if (isSending) {
+                write(
+                        FrameEncoder.ping(
+                                PING_BEFORE_CLOSE, SessionMessages.maskingKey(server.random)));
+            }
             write(
                     FrameEncoder.close(
                             CloseCode.GOING_AWAY, "", SessionMessages.maskingKey(server.random)));
@@ -342,14 +361,13 @@
     }
 
     /**
-     * Closes the connection, once, and tells the client which messages may be lost. After a close
-     * frame from the node no loss is reported.
+     * Closes the connection, once, and tells the client which messages may be lost: those that the
+     * node has neither acknowledged nor been seen to have read.
      */
     private void finish(boolean isBroken) {
         if (state == State.CLOSED) {
             return;
         }
-        boolean wasClosedByNode = closeReceived;
         state = State.CLOSED;
         partialMessage.clear();
         in.clear();
@@ -357,7 +375,7 @@
         for (int i = 0; isSending && i < connection.shardCount(); i++) {
             int shardIndex = connection.shardIndex(i);
             MessageTracker.LostRange lost = client.tracker.takeLost(shardIndex);
-            if (lost != null && !wasClosedByNode) {
+            if (lost != null && !hasReadAll) {
                 client.send(
                         SessionMessages.lost(client.shard(shardIndex), lost.after(), lost.to()));
             }
--- a/src/test/java/gladewing/serve/FakeSessionNode.java
+++ b/src/test/java/gladewing/serve/FakeSessionNode.java
@@ -14,7 +14,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -39,6 +41,9 @@
 
     volatile boolean stopsReading;
 
+    /** Connections that it has sent a close frame on: it takes nothing more on them. */
+    private final Set<Socket> closing = ConcurrentHashMap.newKeySet();
+
     /** When the last frame other than a close arrived, by System.nanoTime. */
     volatile long lastFrameAt;
 
@@ -115,6 +120,13 @@
             for (MessageDecoder.Event event = stream.read(buffer);
                     event != MessageDecoder.Event.INCOMPLETE;
                     event = stream.read(buffer)) {
+                if (closing.contains(socket)) {
+                    if (event == MessageDecoder.Event.CLOSE) {
+                        socket.close();
+                        return;
+                    }
+                    continue;
+                }
                 if (event == MessageDecoder.Event.CLOSE) {
                     received.add("close " + stream.code());
                     write(socket, FrameEncoder.close(stream.code(), "", null));
@@ -122,6 +134,9 @@
                     return;
                 }
                 lastFrameAt = System.nanoTime();
+                if (event == MessageDecoder.Event.PING) {
+                    write(socket, FrameEncoder.pong(stream.payload(), null));
+                }
                 if (event == MessageDecoder.Event.TEXT) {
                     receive(socket, stream.text());
                 }
@@ -164,6 +179,17 @@
         }
     }
 
+    /** Sends a close frame on every open connection, and takes nothing more on them. */
+    void closeLegs(int code) throws IOException {
+        synchronized (sockets) {
+            for (Socket socket : sockets) {
+                if (!socket.isClosed() && closing.add(socket)) {
+                    write(socket, FrameEncoder.close(code, "", null));
+                }
+            }
+        }
+    }
+
     /** Waits for the next message or end of a connection; null if there is none in time. */
     String next() throws InterruptedException {
         return received.poll(TIMEOUT_S, TimeUnit.SECONDS);
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Live sessions through a running router, with the JDK's WebSocket client and fake data nodes. */
 class LiveServeTest extends ServeTestHarness {
@@ -192,6 +194,76 @@
         assertEquals("close 1001", second.next());
     }
 
+    /**
+     * Guards against messages that are lost unsaid, and covered by a later ack, as the node's own
+     * close crosses them: whatever its code says, it does not say that they were taken.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1000, 1001, 1011, 1012, 4000})
+    void tellsWhatMayBeLostWhenANodeClosesItsLeg(int code) throws Exception {
+        startWithSessions("back-off = 20ms\n");
+        FakeSessionNode node = nodes.get(0);
+        SessionClient client = new SessionClient("/sheet/live?shards=0").send(0, 1, "one");
+        assertEquals("{\"shard\":0,\"ack\":1}", client.next());
+        node.stopsReading = true;
+        client.send(0, 2, "two").send(0, 3, "three");
+        Thread.sleep(200);
+        node.closeLegs(code);
+        node.stopsReading = false;
+        assertEquals("{\"shard\":0,\"lost\":{\"after\":1,\"to\":3}}", client.next());
+        client.send(0, 4, "four");
+        assertEquals("{\"shard\":0,\"ack\":4}", client.next());
+    }
+
+    /**
+     * Guards against a close of the node that crosses this router's, and is taken for the answer to
+     * it: the messages before may be lost.
+     */
+    @Test
+    void tellsWhatMayBeLostWhenClosesCross() throws Exception {
+        startWithSessions("back-off = 20ms\n");
+        FakeSessionNode first = nodes.get(0);
+        SessionClient client = new SessionClient("/sheet/live?shards=0").send(0, 1, "one");
+        assertEquals("{\"shard\":0,\"ack\":1}", client.next());
+        first.stopsReading = true;
+        client.send(0, 2, "two").send(0, 3, "three");
+        moveToANewNode(first);
+        Thread.sleep(500);
+        first.closeLegs(1001);
+        assertEquals("{\"shard\":0,\"lost\":{\"after\":1,\"to\":3}}", client.next());
+        client.send(0, 4, "four");
+        assertEquals("{\"shard\":0,\"ack\":4}", client.next());
+        first.stopsReading = false;
+    }
+
+    /**
+     * Guards against a loss that is told of and did not happen: the node took all, and was slow.
+     */
+    @Test
+    void tellsOfNoLossWhenANodeHasReadAllBeforeTheMove() throws Exception {
+        startWithSessions("");
+        FakeSessionNode first = nodes.get(0);
+        SessionClient client = new SessionClient("/sheet/live?shards=0").send(0, 1, "one");
+        assertEquals("{\"shard\":0,\"ack\":1}", client.next());
+        first.acknowledges = false;
+        client.send(0, 2, "two").send(0, 3, "three");
+        FakeSessionNode second = moveToANewNode(first);
+        assertEquals("{\"shard\":0,\"resume\":0,\"sent\":3}", second.next());
+        client.send(0, 4, "four");
+        assertEquals("{\"shard\":0,\"ack\":4}", client.next());
+    }
+
+    /** Lists a node as draining, and a new one in its place. */
+    private FakeSessionNode moveToANewNode(FakeSessionNode first) throws Exception {
+        FakeSessionNode second = startNode();
+        discovery.setList(
+                8,
+                false,
+                target("a", first.endpoint(), 0, "draining"),
+                target("c", second.endpoint(), 0, "up"));
+        return second;
+    }
+
     /**
      * When a node dies and no other one has its shard, the session stays open: messages of the
      * client are buffered until there is a node, and the client is told which may be lost.
