Begin with a live session's nodes only when its client is let in, and count nothing before

Cause: SessionPlanner started each leg as it opened, and a message counted as delivered when its number was accepted, while ClientSocket.send drops what comes before the client is let in. Ruled out: the client (the messages never leave the router).

Change: legs are started once the session is open. What a node says before it was told where to go on, or while the client is not open, is neither taken nor counted, so "resume" asks for it; the same holds at a move, where an early message of the new leg made the rest of the old one pass for seen, with a gap that was none.

Seen: LiveServeTest.losesNoMessageBeforeAllLegsStand, newLegDeliversNothingBeforeTheOldOneHasEnded and five tests on SessionSimulation, which checks it now, were red on the text before and are green.

--- a/src/main/java/gladewing/sessionpolicy/SessionPlanner.java
+++ b/src/main/java/gladewing/sessionpolicy/SessionPlanner.java
@@ -261,12 +261,22 @@
         replacedConnections.stream()
                 .filter(replaced -> isUnused(session, replaced))
                 .forEach(this::closeConnection);
-        if (connection.predecessors.isEmpty()) {
-            actions.startSending(connection);
+        if (session.state == Session.State.OPEN) {
+            startSendingIfReady(connection, now);
         }
         updateSessionState(session, now);
     }
 
+    /**
+     * Starts to send on a connection of an open session. A node is not told where to go on before
+     * the client is accepted, as nothing that it sends could be forwarded.
+     */
+    private void startSendingIfReady(UpstreamConnection connection, long now) {
+        if (connection.canSend() && maySend(connection, now)) {
+            actions.startSending(connection);
+        }
+    }
+
     private static boolean haveCommonShard(UpstreamConnection a, UpstreamConnection b) {
         for (int x : a.shardIndexes) {
             for (int y : b.shardIndexes) {
@@ -296,6 +306,7 @@
         if (allConnected && session.state == Session.State.WAITING) {
             session.state = Session.State.OPEN;
             actions.acceptSession(session);
+            new ArrayList<>(session.connections).forEach(c -> startSendingIfReady(c, now));
         }
         session.parkedAt =
                 allConnected || session.state != Session.State.OPEN
@@ -361,11 +372,8 @@
             removeIfUnused(node);
         }
         for (UpstreamConnection next : new ArrayList<>(session.connections)) {
-            if (next.predecessors.remove(connection)
-                    && next.canSend()
-                    && session.state != Session.State.ENDED
-                    && maySend(next, now)) {
-                actions.startSending(next);
+            if (next.predecessors.remove(connection) && session.state == Session.State.OPEN) {
+                startSendingIfReady(next, now);
             }
         }
         if (session.state == Session.State.ENDED) {
--- a/src/main/java/gladewing/sessionsockets/ClientSocket.java
+++ b/src/main/java/gladewing/sessionsockets/ClientSocket.java
@@ -203,6 +203,11 @@
         }
     }
 
+    /** Whether the client has been accepted, and its session has not ended. */
+    boolean isOpen() {
+        return state == State.OPEN;
+    }
+
     /** Sends a text to the client, unless the session is closing. */
     void send(String text) {
         if (state == State.OPEN) {
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -178,7 +178,7 @@
             case TEXT -> handleMessage();
             case PING -> {
                 // Nothing may be sent after a close frame, not even a pong.
-                if (state == State.OPEN && isWritable()) {
+                if (state == State.OPEN && channel.isWritable() && maySend()) {
                     write(
                             FrameEncoder.pong(
                                     decoder.payload(), SessionMessages.maskingKey(server.random)));
@@ -236,7 +236,15 @@
         }
     }
 
+    /**
+     * Handles what the node says of a shard. Before it was told where to go on, it has nothing to
+     * say: an earlier connection may still deliver, and the client may not have been accepted. What
+     * is dropped is not counted, so the node is told to send it again.
+     */
     private void handleShardMessage(int shardIndex, int shard, Fields fields) {
+        if (!isSending || !client.isOpen()) {
+            return;
+        }
         if (fields.has("ack")) {
             if (!client.tracker.acknowledge(shardIndex, fields.whole("ack"))) {
                 throw new InvalidInputException("acknowledgement of a message that was not sent");
@@ -285,11 +293,11 @@
     }
 
     /**
-     * Returns whether a message may be sent now: earlier output has left the buffer, and the drain
-     * grace of the node is not over.
+     * Returns whether a message may be sent now: the node was told where to go on, earlier output
+     * has left the buffer, and the drain grace of the node is not over.
      */
     boolean isWritable() {
-        return channel.isWritable() && maySend();
+        return isSending && channel.isWritable() && maySend();
     }
 
     private boolean maySend() {
@@ -301,7 +309,7 @@
         // Handled in a later pass, as the writability may change during a write.
         server.loop.runInLaterPass(
                 () -> {
-                    if (state == State.OPEN && isSending && isWritable()) {
+                    if (state == State.OPEN && isWritable()) {
                         sendBuffered();
                     }
                 });
--- a/src/test/java/gladewing/serve/FakeSessionNode.java
+++ b/src/test/java/gladewing/serve/FakeSessionNode.java
@@ -41,6 +41,9 @@
 
     volatile boolean stopsReading;
 
+    /** How long a handshake takes. */
+    volatile int handshakeMillis;
+
     /** Connections that it has sent a close frame on: it takes nothing more on them. */
     private final Set<Socket> closing = ConcurrentHashMap.newKeySet();
 
@@ -100,6 +103,7 @@
             socket.close();
             return;
         }
+        sleep(handshakeMillis);
         String key = head.toString().replaceAll("(?s).*Sec-WebSocket-Key: (\\S+)\r\n.*", "$1");
         socket.getOutputStream()
                 .write(
@@ -146,8 +150,12 @@
     }
 
     private static void sleep() throws IOException {
+        sleep(20);
+    }
+
+    private static void sleep(int millis) throws IOException {
         try {
-            Thread.sleep(20);
+            Thread.sleep(millis);
         } catch (InterruptedException stopped) {
             throw new IOException(stopped);
         }
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -33,6 +34,11 @@
         final BlockingQueue<String> received = new LinkedBlockingQueue<>();
         final WebSocket socket;
 
+        private final StringBuilder partialText = new StringBuilder();
+
+        /** Whether it goes on reading after the next message. */
+        volatile boolean reads = true;
+
         SessionClient(String path) {
             socket =
                     HTTP.newWebSocketBuilder()
@@ -42,8 +48,14 @@
 
         @Override
         public CompletionStage<?> onText(WebSocket sender, CharSequence text, boolean isLast) {
-            received.add(text.toString());
-            sender.request(1);
+            partialText.append(text);
+            if (isLast) {
+                received.add(partialText.toString());
+                partialText.setLength(0);
+            }
+            if (reads || !isLast) {
+                sender.request(1);
+            }
             return null;
         }
 
@@ -253,6 +265,56 @@
         assertEquals("{\"shard\":0,\"ack\":4}", client.next());
     }
 
+    /**
+     * Guards against messages of a node that are counted as delivered, and so never come, as one
+     * leg of the session stands before the other and the client is not accepted yet.
+     */
+    @Test
+    void losesNoMessageBeforeAllLegsStand() throws Exception {
+        startWithSessions("");
+        FakeSessionNode early = nodes.get(0);
+        nodes.get(1).handshakeMillis = 500;
+        CompletableFuture<SessionClient> opening =
+                CompletableFuture.supplyAsync(() -> new SessionClient("/sheet/live?shards=0,1"));
+        while (early.handshakes == 0) {
+            Thread.sleep(10);
+        }
+        Thread.sleep(200);
+        assertTrue(early.received.isEmpty(), "it is not told to begin");
+        early.sendToAll("{\"shard\":0,\"n\":1,\"data\":\"unasked\"}");
+        early.sendToAll("{\"shard\":0,\"ack\":1}");
+        SessionClient client = opening.get(TIMEOUT_S, TimeUnit.SECONDS);
+        assertEquals("{\"shard\":0,\"resume\":0,\"sent\":0}", early.next());
+        early.sendToAll("{\"shard\":0,\"n\":1,\"data\":\"one\"}");
+        assertEquals("{\"shard\":0,\"n\":1,\"data\":\"one\"}", client.next());
+    }
+
+    /**
+     * Guards against messages of the new leg of a move that are counted before the old one has
+     * delivered its last: those would be dropped as seen before, and a gap told.
+     */
+    @Test
+    void newLegDeliversNothingBeforeTheOldOneHasEnded() throws Exception {
+        startWithSessions("");
+        FakeSessionNode first = nodes.get(0);
+        SessionClient client = new SessionClient("/sheet/live?shards=0");
+        first.next();
+        first.stopsReading = true;
+        FakeSessionNode second = moveToANewNode(first);
+        while (second.handshakes == 0) {
+            Thread.sleep(10);
+        }
+        Thread.sleep(100);
+        second.sendToAll("{\"shard\":0,\"n\":2,\"data\":\"unasked\"}");
+        Thread.sleep(100);
+        first.sendToAll("{\"shard\":0,\"n\":1,\"data\":\"one\"}");
+        assertEquals("{\"shard\":0,\"n\":1,\"data\":\"one\"}", client.next());
+        first.stopsReading = false;
+        assertEquals("{\"shard\":0,\"resume\":1,\"sent\":0}", second.next());
+        second.sendToAll("{\"shard\":0,\"n\":2,\"data\":\"two\"}");
+        assertEquals("{\"shard\":0,\"n\":2,\"data\":\"two\"}", client.next());
+    }
+
     /** Lists a node as draining, and a new one in its place. */
     private FakeSessionNode moveToANewNode(FakeSessionNode first) throws Exception {
         FakeSessionNode second = startNode();
--- a/src/test/java/gladewing/sessionpolicy/SessionSimulation.java
+++ b/src/test/java/gladewing/sessionpolicy/SessionSimulation.java
@@ -62,6 +62,9 @@
     int closedCount;
     private int nextNodeId;
 
+    /** Connections on which sending has started. */
+    private final Set<UpstreamConnection> started = new HashSet<>();
+
     SessionSimulation(long seed, SessionSettings settings) {
         this.settings = settings;
         random = new Random(seed);
@@ -223,6 +226,8 @@
         require(
                 connection.canSend() && !connection.session.isEnded(),
                 "send on a connection that cannot send");
+        require(connection.session.isOpen(), "send before the client is accepted");
+        require(started.add(connection), "started to send twice");
         for (int i = 0; i < connection.shardCount(); i++) {
             for (UpstreamConnection other : connections) {
                 boolean isPredecessor =
@@ -363,6 +368,14 @@
                         "parked for longer than allowed");
             }
         }
+        for (Session session : openSessions) {
+            for (int i = 0; i < session.shardCount() && session.isOpen(); i++) {
+                UpstreamConnection target = session.sendTarget(i);
+                require(
+                        target == null || started.contains(target) || !planner.maySend(target, now),
+                        "messages for a connection that was not started");
+            }
+        }
         connections.forEach(
                 l ->
                         require(
