Read a leg to the end of its close though the client does not read, and tell no false loss

What callers saw: "lost" for a message that the node had taken, where a session is moved while its client does not read.

Cause: the legs of a client that does not read are not read either, so the answer to the close of a moved leg was not seen, and the leg ended by its time-out. A leg that opened meanwhile was read without bound, and one in its handshake was paused too, which ended it against its node.

Change: reading is paused on open legs alone, and from their start on. A leg that is being closed is read; what its node still tells is dropped uncounted while the client does not read, so that the next leg asks for it.

--- a/src/main/java/gladewing/sessionsockets/ClientSocket.java
+++ b/src/main/java/gladewing/sessionsockets/ClientSocket.java
@@ -208,6 +208,11 @@
         return state == State.OPEN;
     }
 
+    /** Whether earlier output has left the buffer, so that the client seems to read. */
+    boolean isWritable() {
+        return channel.isWritable();
+    }
+
     /** Sends a text to the client, unless the session is closing. */
     void send(String text) {
         if (state == State.OPEN) {
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -71,6 +71,12 @@
     /** Whether reading is paused because the client does not read. */
     private boolean isPaused;
 
+    /**
+     * Whether messages of the node are dropped for the next connection to ask for: the client does
+     * not read, and this connection is read for the end of the close handshake alone.
+     */
+    private boolean isDroppingData;
+
     /** When the opening or the closing handshake must have ended, in microseconds. */
     private long deadline;
 
@@ -254,6 +260,10 @@
         }
         long number = fields.whole("n");
         String data = fields.text("data");
+        isDroppingData |= state == State.CLOSING && !client.isWritable();
+        if (isDroppingData) {
+            return;
+        }
         MessageTracker.NodeMessageResult result = client.tracker.acceptFromNode(shardIndex, number);
         if (result == MessageTracker.NodeMessageResult.GAP) {
             client.send(SessionMessages.gap(shard, number - 1));
@@ -269,6 +279,7 @@
      */
     void startSending() {
         isSending = true;
+        setReading(client.isWritable());
         for (int i = 0; i < connection.shardCount(); i++) {
             int shardIndex = connection.shardIndex(i);
             int shard = client.shard(shardIndex);
@@ -326,11 +337,21 @@
         SessionMessages.write(server.loop, channel, frame);
     }
 
+    /**
+     * Starts or pauses reading, as the client reads or does not. The end of a handshake is always
+     * awaited.
+     */
     void setReading(boolean isReading) {
+        if (state == State.OPEN) {
+            pauseReading(!isReading);
+        }
+    }
+
+    private void pauseReading(boolean isToBePaused) {
         // While reading is paused nothing can arrive, so the idle time starts anew.
-        isPaused = !isReading;
+        isPaused = isToBePaused;
         lastReceivedAt = server.now();
-        channel.config().setAutoRead(isReading);
+        channel.config().setAutoRead(!isToBePaused);
     }
 
     /**
@@ -340,6 +361,7 @@
     void closeGracefully() {
         if (state == State.OPEN) {
             state = State.CLOSING;
+            pauseReading(false);
             deadline = server.now() + server.settings.closeTimeout();
             if (isSending) {
                 write(
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -315,6 +315,42 @@
         assertEquals("{\"shard\":0,\"n\":2,\"data\":\"two\"}", client.next());
     }
 
+    /**
+     * Guards against a move that waits in vain for the answer to its close, and tells of a loss, as
+     * the old leg is not read while its client does not read. What is not passed on is asked for
+     * again.
+     */
+    @Test
+    void movesTheLegOfAClientThatDoesNotRead() throws Exception {
+        startWithSessions("");
+        FakeSessionNode first = nodes.get(0);
+        SessionClient client = new SessionClient("/sheet/live?shards=0");
+        first.next();
+        first.acknowledges = false;
+        client.send(0, 1, "one");
+        first.next();
+        client.reads = false;
+        String data = "x".repeat(4_000);
+        startDaemon(
+                () -> {
+                    for (int n = 1; n <= 5_000; n++) {
+                        first.sendToAll("{\"shard\":0,\"n\":" + n + ",\"data\":\"" + data + "\"}");
+                    }
+                });
+        Thread.sleep(1000);
+        FakeSessionNode second = moveToANewNode(first);
+        String resume = second.next();
+        int last = Integer.parseInt(resume.replaceAll("\\D+(0)\\D+(\\d+)\\D+1\\D+", "$2"));
+        assertTrue(last < 5_000, resume);
+        second.sendToAll("{\"shard\":0,\"n\":" + (last + 1) + ",\"data\":\"after\"}");
+        client.reads = true;
+        client.socket.request(1);
+        for (int n = 1; n <= last; n++) {
+            assertTrue(client.next().startsWith("{\"shard\":0,\"n\":" + n + ","));
+        }
+        assertEquals("{\"shard\":0,\"n\":" + (last + 1) + ",\"data\":\"after\"}", client.next());
+    }
+
     /** Lists a node as draining, and a new one in its place. */
     private FakeSessionNode moveToANewNode(FakeSessionNode first) throws Exception {
         FakeSessionNode second = startNode();
