Let a leg of a live session wait for every earlier leg of its shards, not for two kinds alone

What callers could see: messages of a shard by two nodes at once, and "lost" for some that were not, where a leg was replaced for one shard and goes on for another, and its successor is replaced in turn.

Cause: SessionPlanner let a new leg wait for those that it replaced and for those being closed. The first leg of three is neither: it is open, for its other shard.

Change: a leg waits for all that are up and have a shard in common with it.

--- a/src/main/java/gladewing/sessionpolicy/SessionPlanner.java
+++ b/src/main/java/gladewing/sessionpolicy/SessionPlanner.java
@@ -248,13 +248,13 @@
                 replacedConnections.add(replaced);
             }
         }
-        // Connections that are already being closed may still deliver the rest of their messages.
+        // Connections that are already replaced or being closed may still deliver the rest of their
+        // messages.
         for (UpstreamConnection other : session.connections) {
-            boolean isClosingPredecessor =
-                    other != connection
-                            && other.state == UpstreamConnection.State.CLOSING
-                            && haveCommonShard(other, connection);
-            if (isClosingPredecessor || replacedConnections.contains(other)) {
+            boolean isUp =
+                    other.state == UpstreamConnection.State.OPEN
+                            || other.state == UpstreamConnection.State.CLOSING;
+            if (other != connection && isUp && haveCommonShard(other, connection)) {
                 connection.predecessors.add(other);
             }
         }
--- a/src/test/java/gladewing/sessionpolicy/SessionPlannerTest.java
+++ b/src/test/java/gladewing/sessionpolicy/SessionPlannerTest.java
@@ -181,6 +181,31 @@
                                 connection, simulation.now + SessionSimulation.GRACE));
     }
 
+    /**
+     * Guards against a leg that begins to send while an earlier one of its shard is still up: that
+     * one was replaced for this shard, and goes on for another. Messages would lose their order,
+     * and those of the new leg be told as lost when the old one ends.
+     */
+    @Test
+    void waitsForAllEarlierConnectionsOfAShard() {
+        PlannerScript script = new PlannerScript("a", "a");
+        Session session = script.planner.requestSession(0, 0, 1, new int[] {0, 1}, 0);
+        script.openNext();
+        assertEquals("[a]", script.started.toString());
+        script.selected = new String[] {"b", null};
+        script.drain("a");
+        script.openNext();
+        script.selected = new String[] {"c", null};
+        script.drain("b");
+        script.openNext();
+        assertTrue(session.isOpen());
+        assertEquals("[b]", script.closed.toString());
+        script.end("b");
+        assertEquals("[a]", script.started.toString(), "a is still up, and was sent to");
+        script.end("a");
+        assertEquals("[a, c]", script.started.toString());
+    }
+
     /** A shutdown must spread the closes evenly, so that clients do not all reconnect at once. */
     @Test
     void spreadsClosesOverTheShutdownTime() {
