Doubt answers for a moment while others are spoilt, as a cut one may show it late

What callers could see: a value without its last bytes, where these come some milliseconds behind their frame and the answer was the last that its multiget waited for: it had been used by then.

Cause: nothing but the bytes behind it tells that an answer is cut, and an empty socket was taken for the end of it. A wait for all answers is ruled out: it would slow every sound one.

Change: lifecycle.SpoiltAnswers decides. Without a spoilt answer nothing waits.

Seen: NodeClientTest.cutAnswersAreNotHandedOnWhileAnswersAreSpoilt (five cut answers whose end comes 5 ms later) is green; without the quiet time it hands them on.

--- a/src/main/java/gladewing/nodes/InFlightTransmission.java
+++ b/src/main/java/gladewing/nodes/InFlightTransmission.java
@@ -4,6 +4,7 @@
 import gladewing.decisions.Transmission;
 import gladewing.frames.NodeFrames;
 import gladewing.loop.Timer;
+import gladewing.router.Span;
 import gladewing.router.Time;
 import io.netty.channel.ChannelFuture;
 
@@ -39,6 +40,11 @@
         this.sentAt = sentAt;
     }
 
+    /** Returns how long its answer is still waited for; zero if it has timed out. */
+    Span timeLeft(Time now) {
+        return Span.longest(Span.ZERO, transmission.timeout.minus(now.since(sentAt)));
+    }
+
     /**
      * Returns how a transmission or probe ends whose connection is lost: {@link CallResult#BROKEN}
      * if its frame was written to the socket as a whole, so that the node may have run it, and
--- a/src/main/java/gladewing/nodes/IncomingFrames.java
+++ b/src/main/java/gladewing/nodes/IncomingFrames.java
@@ -15,9 +15,10 @@
  * follows it and is no frame.
  *
  * <p>A frame is confirmed by the next one, as soon as that is known to be one that the connection
- * waits for, or by a socket that holds nothing behind it. If bytes arrive behind an answer that was
- * confirmed by an empty socket, they are judged in the same way, and the answer is taken back while
- * that can still be done.
+ * waits for, or by a socket that holds nothing behind it, and that stays quiet for a moment while
+ * answers are known to be spoilt. If bytes arrive behind an answer that was confirmed by an empty
+ * socket, they are judged in the same way, and the answer is taken back while that can still be
+ * done.
  */
 final class IncomingFrames {
     /** The connection whose frames are read. */
@@ -37,6 +38,12 @@
          */
         PartAnswer takeBackLastAnswer();
 
+        /** How long the socket has to stay quiet behind an answer before that counts. */
+        Span quietTimeBehind(PartAnswer answer);
+
+        /** Reads what the socket holds; that comes back by {@link IncomingFrames#read}. */
+        void readSocket();
+
         /** Nothing more can be read; frames that were not handed on are spoilt. */
         void framesFailed(String reason);
     }
@@ -86,6 +93,9 @@
 
     private boolean isClosed;
 
+    /** Runs while the socket has to stay quiet behind the frame that is not confirmed, or null. */
+    private Timer quietTimer;
+
     /** Fails the frames if the rest of one that has begun to arrive does not follow. */
     private Timer incompleteFrameTimer;
 
@@ -219,10 +229,38 @@
         if (isClosed) {
             return;
         }
-        if (buffer.size() == 0) {
-            confirm();
-        } else {
+        if (buffer.size() > 0) {
             takeBackLastAnswer();
+        } else if (unconfirmed != null && quietTimer == null) {
+            confirmAfter(quietTime());
+        }
+    }
+
+    private Span quietTime() {
+        return unconfirmed.isAnswer() ? receiver.quietTimeBehind(unconfirmed.answer) : Span.ZERO;
+    }
+
+    private void confirmAfter(Span quietTime) {
+        if (quietTime.longerThan(Span.ZERO)) {
+            quietTimer = loop.schedule(quietTime, this::quietTimeEnded);
+        } else {
+            confirm();
+        }
+    }
+
+    private void quietTimeEnded() {
+        receiver.readSocket();
+        // Without a timer the frame in question has been confirmed, or is another one.
+        if (quietTimer != null && buffer.size() == 0) {
+            confirm();
+        }
+        stopQuietTimer();
+    }
+
+    private void stopQuietTimer() {
+        if (quietTimer != null) {
+            quietTimer.cancel();
+            quietTimer = null;
         }
     }
 
@@ -230,6 +268,7 @@
     private void confirm() {
         Frame confirmed = unconfirmed;
         unconfirmed = null;
+        stopQuietTimer();
         if (confirmed == null) {
             return;
         }
@@ -282,7 +321,11 @@
 
     /** The connection has ended: what has nothing behind it is handed on, and nothing else. */
     void connectionEnded() {
-        socketEmptied();
+        if (buffer.size() == 0) {
+            confirm();
+        } else {
+            takeBackLastAnswer();
+        }
         close();
     }
 
@@ -292,6 +335,7 @@
         unconfirmed = null;
         lastAnsweredPart = null;
         stopIncompleteFrameTimer();
+        stopQuietTimer();
         buffer.clear();
     }
 }
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -9,6 +9,7 @@
 import gladewing.frames.PartAnswer;
 import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryLimit;
+import gladewing.lifecycle.SpoiltAnswers;
 import gladewing.loop.Loop;
 import gladewing.router.NodeLoad;
 import gladewing.router.Span;
@@ -52,6 +53,7 @@
     final NodeClientOptions options;
     final RouterEvents events;
     final LifecycleRules rules;
+    final SpoiltAnswers spoiltAnswers = new SpoiltAnswers();
 
     /** What the connections have received of frames that are not complete. */
     final MemoryLimit memory;
@@ -417,10 +419,9 @@
         part.isEnded = false;
         part.endedAt = null;
         inFlight.put(part.transmission, part);
-        Span elapsed = loop.enterPass().since(part.sentAt);
         part.timeoutTimer =
                 loop.schedule(
-                        Span.longest(Span.ZERO, part.transmission.timeout.minus(elapsed)),
+                        part.timeLeft(loop.enterPass()),
                         () -> end(part, CallResult.TIMED_OUT, null, null));
         return value;
     }
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -315,7 +315,7 @@
     /** Closes the connection, which gives back what it has received of an incomplete frame. */
     @Override
     public void giveWay() {
-        framesFailed("connections to data nodes hold too much memory");
+        closeOnError("connections to data nodes hold too much memory");
     }
 
     void close() {
@@ -355,14 +355,28 @@
      * length is too short may have come in a segment of its own.
      */
     private void readAgain() {
-        if (channel instanceof ResilientSocketChannel socket) {
-            socket.readNow();
-        }
+        readSocket();
         isSecondReadDue = false;
         frames.socketEmptied();
         countMemory();
     }
 
+    @Override
+    public void readSocket() {
+        if (channel instanceof ResilientSocketChannel socket) {
+            socket.readNow();
+        }
+    }
+
+    @Override
+    public Span quietTimeBehind(PartAnswer answer) {
+        InFlightTransmission answered = inFlight.get(answer.id());
+        Time now = client.loop.enterPass();
+        return answered == null || answered.isEnded
+                ? Span.ZERO
+                : client.spoiltAnswers.quietTime(now, answered.timeLeft(now));
+    }
+
     @Override
     public boolean awaitsAnswer(String partId) {
         return inFlight.containsKey(partId) || withdrawn.containsKey(partId);
@@ -417,6 +431,11 @@
 
     @Override
     public void framesFailed(String reason) {
+        client.spoiltAnswers.seen(client.loop.enterPass());
+        closeOnError(reason);
+    }
+
+    private void closeOnError(String reason) {
         if (!isClosed) {
             client.events.record(Event.NODE_PROTOCOL_ERROR, this, reason);
             LOG.warning("connection to data node " + incarnation.address() + " closed: " + reason);
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -657,6 +657,35 @@
         }
     }
 
+    /**
+     * Guards against cut values whose end comes a few milliseconds later, when they would have been
+     * used: once a spoilt answer was seen, the next ones wait for that long.
+     */
+    @Test
+    void cutAnswersAreNotHandedOnWhileAnswersAreSpoilt() throws Exception {
+        try (FakeDataNode node = new FakeDataNode()) {
+            start(10, true, LONG, Span.ofMillis(200));
+            putNode("n", node.port());
+            for (int i = 0; i < 6; i++) {
+                transmit(to("n", Trace.silentMultiget("" + i, 2, 0), 0, LONG));
+                FakeDataNode.Frame call = node.nextFrame();
+                byte[] frame = answerLacking(5, i + ".0", "a value of plain text");
+                int firstWrite = i == 0 ? frame.length : frame.length - 5;
+                call.writeBytes(Arrays.copyOf(frame, firstWrite));
+                Thread.sleep(5);
+                call.writeBytes(Arrays.copyOfRange(frame, firstWrite, frame.length));
+                recordNextEnd();
+            }
+            transmit(to("n", Trace.silentMultiget("6", 2, 0), 0, LONG));
+            node.nextFrame().answer("6.0", "ok", "sound");
+            recordNextEnd();
+            assertEquals(
+                    "end: 0.0 BROKEN\nend: 1.0 BROKEN\nend: 2.0 BROKEN\nend: 3.0 BROKEN\n"
+                            + "end: 4.0 BROKEN\nend: 5.0 BROKEN\nend: 6.0 ANSWERED sound\n",
+                    trace.toString());
+        }
+    }
+
     /** Guards against a sound answer that is lost as the frame behind it arrives in pieces. */
     @Test
     void answerThatWasTakenBackCountsAgainOnceTheFrameBehindItIsSound() throws Exception {
