--- a/src/main/java/gladewing/nodes/IncomingFrames.java
+++ b/src/main/java/gladewing/nodes/IncomingFrames.java
@@ -220,6 +220,11 @@
         }
     }
 
+    /** Whether it matters what else the socket holds: a frame, or an answer, is still in doubt. */
+    boolean isAnyInDoubt() {
+        return unconfirmed != null || buffer.size() > 0 && lastAnsweredPart != null;
+    }
+
     /**
      * Called when all that the socket held has been read: what has nothing behind it is handed on,
      * and an answer that was handed on earlier is taken back if it has something behind it that is
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -342,7 +342,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         lastUsedAt = client.loop.enterPass();
         frames.read((ByteBuf) message);
-        if (!isSecondReadDue && !isClosed) {
+        if (!isSecondReadDue && frames.isAnyInDoubt()) {
             isSecondReadDue = true;
             client.loop.runAfterEvents(this::readAgain);
         }
