Wait for slow answers of discovery, and make further calls beside late ones

Cause: DiscoveryWatcher gave each call one fixed time (0.5 s beside its wait), dropped its connection then, and made the same call anew. Ruled out: answers refused, calls lost by the agent, a module that keeps draining nodes (see docs/incidents/slow-discovery.md).

Change: a late call goes on waiting, and others are made beside it, one a second, at most eight (lifecycle.OverlappingCalls); an answer ends the earlier calls. Answers may come in any order, so lifecycle.ListRevision judges what is taken. A sound agent has one call a second on one connection, as before.

--- a/src/main/java/gladewing/discovery/DiscoveryConnection.java
+++ b/src/main/java/gladewing/discovery/DiscoveryConnection.java
@@ -1,6 +1,7 @@
 package gladewing.discovery;
 
 import gladewing.http.ResponseReader;
+import gladewing.lifecycle.ListRevision;
 import gladewing.sockets.ConnectionAttempt;
 import gladewing.sockets.ResilientSocketChannel;
 import io.netty.buffer.ByteBuf;
@@ -30,6 +31,8 @@
     /** Path and query of the latest request. */
     private String path;
 
+    private ListRevision.Question question;
+
     DiscoveryConnection(DiscoveryWatcher watcher, String host) {
         this.watcher = watcher;
         this.host = host;
@@ -41,8 +44,9 @@
     }
 
     /** Sends a request, at once or when the connection is up. */
-    void request(String newPath) {
+    void request(String newPath, ListRevision.Question newQuestion) {
         path = newPath;
+        question = newQuestion;
         if (isUp) {
             send();
         }
@@ -53,6 +57,11 @@
         channel.writeAndFlush(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
     }
 
+    /** What the latest request asks for. */
+    ListRevision.Question question() {
+        return question;
+    }
+
     void close() {
         ConnectionAttempt.close(channel);
     }
@@ -66,6 +75,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object read) {
         responses.append((ByteBuf) read);
+        watcher.progressed(this, responses.heldBytes());
         if (!isReadDue) {
             isReadDue = true;
             watcher.loop.runAfterEvents(this::readResponse);
--- a/src/main/java/gladewing/discovery/DiscoveryWatcher.java
+++ b/src/main/java/gladewing/discovery/DiscoveryWatcher.java
@@ -4,21 +4,26 @@
 import gladewing.events.RouterEvents;
 import gladewing.json.InvalidInputException;
 import gladewing.json.Json;
+import gladewing.lifecycle.ListRevision;
+import gladewing.lifecycle.OverlappingCalls;
 import gladewing.loop.Loop;
 import gladewing.loop.Timer;
 import gladewing.router.Span;
+import gladewing.router.Time;
 import gladewing.sockets.ConnectionAttempt;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.logging.Logger;
 
 /**
  * Follows the list of data nodes by long polling: requests the whole list first, then its changes,
- * where each request waits at the agent for a change and the next one follows at once. After a
- * failure it requests again soon, and the last list stays in use. All methods are called on the
- * loop's thread.
+ * where each request waits at the agent for a change and the next one follows at once. A request
+ * without an answer may be lost, or the agent may be slow: it goes on waiting, and others are made
+ * beside it on connections of their own ({@link OverlappingCalls}). After a failure it requests
+ * again soon, and the last list stays in use. All methods are called on the loop's thread.
  */
 public final class DiscoveryWatcher {
     private static final Logger LOG = Logger.getLogger(DiscoveryWatcher.class.getName());
@@ -30,12 +35,7 @@
      * without changes, and the changes that it should have brought count as delivered. The agent
      * runs on the same machine, so frequent requests cost nothing.
      */
-    private static final int LONG_POLL_MILLIS = 1000;
-
-    /** How long an answer may take in addition to the time that the agent may hold the request. */
-    private static final Span RESPONSE_TIMEOUT = Span.ofMillis(500);
-
-    private static final Span RETRY_DELAY = Span.ofMillis(100);
+    private static final Span LONG_POLL = Span.ofMillis(1000);
 
     /**
      * More than twice the 3,200 data nodes of the largest fleet, as a release lists old and new.
@@ -52,17 +52,21 @@
     private final DiscoveryListener listener;
     private final RouterEvents events;
 
-    /** The connection in use; null while there is none. */
-    private DiscoveryConnection connection;
+    /** The requests without an answer, each on a connection of its own. */
+    private OverlappingCalls<DiscoveryConnection> calls = new OverlappingCalls<>();
 
-    /** The time-out of the open request, or the delay before the next; null before the start. */
-    private Timer timer;
+    /** The revision of the list in use. */
+    private ListRevision revision = new ListRevision();
 
-    /** The revision of the list in use; negative if the whole list must be requested. */
-    private long revision = -1;
+    /** Runs when the next request is due; null before the start. */
+    private Timer timer;
 
+    /** Whether a failure was logged, and no answer in time since then. */
     private boolean isFailing;
 
+    /** Whether the last answer was late. */
+    private boolean isSlow;
+
     /** The names of the data nodes in the list in use. */
     private Set<String> listedNodes = Set.of();
 
@@ -86,48 +90,87 @@
 
     /** Makes the first request. */
     public void start() {
-        requestList();
+        decide();
     }
 
     /**
      * Uses the agent at another address from now on, and requests the whole list first, as
      * revisions of one agent mean nothing to another. What still arrives from the earlier one is
-     * ignored because its connection is no longer the one in use.
+     * ignored because its requests are no longer waited for.
      */
     public void moveTo(InetSocketAddress newAddress) {
         events.record(Event.DISCOVERY_MOVED, newAddress, "from " + address);
         address = newAddress;
-        revision = -1;
-        if (timer == null) {
-            // Not started yet: the first request goes to the new address.
-            return;
+        List<DiscoveryConnection> earlier = calls.waitingCalls();
+        calls = new OverlappingCalls<>();
+        revision = new ListRevision();
+        earlier.forEach(DiscoveryConnection::close);
+        if (timer != null) {
+            decide();
+        }
+    }
+
+    /** Gives up requests and makes another one if that is due, and schedules the next decision. */
+    private void decide() {
+        Time now = loop.enterPass();
+        for (DiscoveryConnection givenUp = calls.nextToGiveUp(now);
+                givenUp != null;
+                givenUp = calls.nextToGiveUp(now)) {
+            events.record(Event.DISCOVERY_FAILED, address, "given up for a later request");
+            givenUp.close();
+        }
+        if (calls.mayCall(now)) {
+            request(open());
         }
-        timer.cancel();
-        if (connection != null) {
-            DiscoveryConnection earlier = connection;
-            connection = null;
-            earlier.close();
+        scheduleDecision(now);
+        reportLateRequests(now);
+    }
+
+    private void scheduleDecision(Time now) {
+        if (timer != null) {
+            timer.cancel();
+        }
+        timer = loop.schedule(calls.untilNextDecision(now), this::decide);
+    }
+
+    private void reportLateRequests(Time now) {
+        if (calls.nextLateCall(now) != null) {
+            reportFailure("no response in time");
+            // Where several are late at once, each is reported in a pass of its own.
+            scheduleDecision(now);
         }
-        requestList();
     }
 
-    private void requestList() {
-        if (connection == null) {
-            DiscoveryConnection opened =
-                    new DiscoveryConnection(
-                            this, address.getHostString() + ":" + address.getPort());
-            connection = opened;
-            ChannelFuture opening = bootstrap.clone().handler(opened).connect(address);
-            opened.setChannel(opening.channel());
-            ConnectionAttempt.onFailure(
-                    loop, opening, cause -> failed(opened, "cannot connect: " + cause));
+    private DiscoveryConnection open() {
+        DiscoveryConnection opened =
+                new DiscoveryConnection(this, address.getHostString() + ":" + address.getPort());
+        ChannelFuture opening = bootstrap.clone().handler(opened).connect(address);
+        opened.setChannel(opening.channel());
+        ConnectionAttempt.onFailure(
+                loop, opening, cause -> failed(opened, "cannot connect: " + cause));
+        return opened;
+    }
+
+    private void request(DiscoveryConnection connection) {
+        ListRevision.Question question = revision.nextQuestion();
+        if (question.isForWholeList()) {
+            calls.begin(connection, loop.enterPass(), Span.ZERO);
+            connection.request(PATH, question);
+        } else {
+            calls.begin(connection, loop.enterPass(), LONG_POLL);
+            String query =
+                    "?after=" + question.after() + "&wait_ms=" + Math.round(LONG_POLL.millis());
+            connection.request(PATH + query, question);
         }
-        DiscoveryConnection used = connection;
-        boolean isWhole = revision < 0;
-        used.request(isWhole ? PATH : PATH + "?after=" + revision + "&wait_ms=" + LONG_POLL_MILLIS);
-        Span timeout =
-                isWhole ? RESPONSE_TIMEOUT : RESPONSE_TIMEOUT.plus(Span.ofMillis(LONG_POLL_MILLIS));
-        timer = loop.schedule(timeout, () -> failed(used, "no response in time"));
+    }
+
+    /**
+     * Handles a part of a response.
+     *
+     * @param heldBytes the memory that the unfinished response takes
+     */
+    void progressed(DiscoveryConnection from, long heldBytes) {
+        calls.progressed(from, loop.enterPass(), heldBytes);
     }
 
     /**
@@ -136,7 +179,7 @@
      * @param isKeptAlive whether the next request may use the same connection
      */
     void answered(DiscoveryConnection from, byte[] body, boolean isKeptAlive) {
-        if (from != connection) {
+        if (!calls.isWaiting(from)) {
             return;
         }
         NodeListUpdate update;
@@ -154,44 +197,53 @@
             failed(from, "a list of more than " + MAX_NODES + " data nodes");
             return;
         }
-        timer.cancel();
-        if (isFailing) {
-            LOG.info("discovery answers again");
-            isFailing = false;
-        }
-        if (!isKeptAlive) {
-            connection = null;
+        Time now = loop.enterPass();
+        ListRevision.Question question = from.question();
+        boolean hasNews = update.isSnapshot() || update.revision() != question.after();
+        calls.answered(from, now, hasNews).forEach(DiscoveryConnection::close);
+        logAnswer();
+        ListRevision.Use use = revision.judge(question, update.revision(), update.isSnapshot());
+        if (isKeptAlive && calls.mayCall(now)) {
+            request(from);
+        } else {
             from.close();
         }
-        if (!update.isSnapshot() && update.revision() < revision) {
-            // Changes to a list older than the one in use cannot be applied to it, so the whole
-            // list
-            // is requested.
-            revision = -1;
-        } else {
-            revision = update.revision();
+        decide();
+        if (use == ListRevision.Use.APPLY) {
             listedNodes = listed;
             listener.nodeListUpdated(update);
         }
-        requestList();
     }
 
-    /** Gives up the connection, unless it is no longer in use, and requests again soon. */
+    private void logAnswer() {
+        if (calls.lastAnswerWasLate() && !isSlow) {
+            LOG.warning("discovery answers slowly; its answers are waited for");
+        } else if (!calls.lastAnswerWasLate() && (isSlow || isFailing)) {
+            LOG.info("discovery answers again");
+            isFailing = false;
+        }
+        isSlow = calls.lastAnswerWasLate();
+    }
+
+    /** Gives up the connection, unless it is no longer waited for, and requests again soon. */
     void failed(DiscoveryConnection from, String reason) {
-        if (from != connection) {
+        Time now = loop.enterPass();
+        from.close();
+        if (!calls.isWaiting(from)) {
             return;
         }
-        loop.enterPass();
+        calls.failed(from, now);
+        // Scheduled first, so that a fault of the listener does not end the watch.
+        scheduleDecision(now);
+        reportFailure(reason);
+    }
+
+    private void reportFailure(String reason) {
         events.record(Event.DISCOVERY_FAILED, address, reason);
-        timer.cancel();
-        connection = null;
-        from.close();
         if (!isFailing) {
             LOG.warning("discovery failed, the last list is kept: " + reason);
             isFailing = true;
         }
-        // Scheduled first, so that a fault of the listener does not end the watch.
-        timer = loop.schedule(RETRY_DELAY, this::requestList);
         listener.discoveryFailed();
     }
 }
--- a/src/main/java/gladewing/http/ResponseReader.java
+++ b/src/main/java/gladewing/http/ResponseReader.java
@@ -72,6 +72,11 @@
         return true;
     }
 
+    /** How much memory the response takes that is not complete, in bytes. */
+    public long heldBytes() {
+        return (long) buffer.capacity() + reader.heldBytes();
+    }
+
     /** Why nothing more can be read; null before that. */
     public String failure() {
         return failure;
--- a/src/main/java/gladewing/router/Span.java
+++ b/src/main/java/gladewing/router/Span.java
@@ -29,6 +29,10 @@
         return micros > other.micros;
     }
 
+    public boolean isNegative() {
+        return micros < 0;
+    }
+
     public static Span longest(Span a, Span b) {
         return a.longerThan(b) ? a : b;
     }
