Let a connection to a data node that is late come up for later calls

What callers saw: a node whose handshakes all take longer than the settings' connect time-out got no part; its calls ended as NOT_WRITTEN again and again.

Cause: NodeClient.open closed the connection when the time of what waited on it was over, and the next call began the handshake anew. Ruled out: the module, which the test does without.

Change: what waits ends as before; the connection goes on coming up, one a node, for ten connect time-outs, takes nothing while late, gives way as an idle one does, and serves later calls once it is up.

Tests: SlowNodeTest on: two of four red (no frame in 30 s; no connection kept); all four green now. The set-up of NodeClientTest moves to NodeClientHarness unchanged, for both; its 39 tests are the same and green.

--- a/src/main/java/gladewing/nodes/ConnectionPool.java
+++ b/src/main/java/gladewing/nodes/ConnectionPool.java
@@ -33,6 +33,11 @@
         return !isDraining && run.equals(incarnation);
     }
 
+    /** Whether a connection is coming up after its time. */
+    boolean hasLateConnection() {
+        return connections.stream().anyMatch(NodeConnection::isComingUpLate);
+    }
+
     /** Records that a connection broke while answers were awaited on it. */
     void connectionBroke(Time now) {
         lastBrokenAt = now;
--- a/src/main/java/gladewing/nodes/NodeClient.java
+++ b/src/main/java/gladewing/nodes/NodeClient.java
@@ -46,6 +46,9 @@
      */
     private static final Span MAX_ANSWER_DELAY = Span.ofMillis(10_000);
 
+    /** For how many connect timeouts a connection may be coming up. */
+    private static final int LATE_CONNECT_FACTOR = 10;
+
     private record DeferredCall(String node, List<InFlightTransmission> parts) {}
 
     final Loop loop;
@@ -298,8 +301,7 @@
                 options.connectTimeout(),
                 () -> {
                     if (!opening.isDone()) {
-                        events.record(Event.NODE_CONNECT_FAILED, pool.node, "time-out");
-                        close(connection);
+                        connectTimeoutExceeded(connection, pool, opening);
                     }
                 });
         ConnectionAttempt.onFailure(
@@ -312,6 +314,27 @@
         return connection;
     }
 
+    /**
+     * Ends what waits for a connection that has not come up in time. One such connection to each
+     * node goes on coming up for a while, as all handshakes with the node may be slow.
+     */
+    private void connectTimeoutExceeded(
+            NodeConnection connection, ConnectionPool pool, ChannelFuture opening) {
+        events.record(Event.NODE_CONNECT_FAILED, pool.node, "time-out");
+        if (pool.hasLateConnection() || !connection.incarnation.equals(pool.incarnation)) {
+            close(connection);
+            return;
+        }
+        connection.connectTimeoutExceeded();
+        loop.schedule(
+                options.connectTimeout().times(LATE_CONNECT_FACTOR - 1),
+                () -> {
+                    if (!opening.isDone()) {
+                        close(connection);
+                    }
+                });
+    }
+
     /** Closes the idle connection that was not used for longest; false if none is idle. */
     private boolean closeLeastRecentlyUsed() {
         Optional<NodeConnection> leastRecentlyUsed =
--- a/src/main/java/gladewing/nodes/NodeConnection.java
+++ b/src/main/java/gladewing/nodes/NodeConnection.java
@@ -58,6 +58,10 @@
 
     private Channel channel;
     private boolean isUp;
+
+    /** Whether it is still coming up after the connect timeout: nothing waits for it any more. */
+    private boolean isComingUpLate;
+
     private boolean isClosed;
 
     /** How many transmissions on this connection have not ended. */
@@ -106,6 +110,10 @@
         return isUp;
     }
 
+    boolean isComingUpLate() {
+        return isComingUpLate;
+    }
+
     /** Whether no answer is awaited on it. */
     boolean isIdle() {
         return awaitedTransmissions == 0 && probes.stream().allMatch(p -> p.isEnded);
@@ -170,12 +178,13 @@
     }
 
     /**
-     * Whether a call can be sent on this connection: it is open and not blocked, at most maxParts
-     * parts and probes are in flight with the call, and none of the call's part ids is in flight or
-     * withdrawn here, as the answers could not be told apart.
+     * Whether a call can be sent on this connection: it is open, or coming up in time, and not
+     * blocked, at most maxParts parts and probes are in flight with the call, and none of the
+     * call's part ids is in flight or withdrawn here, as the answers could not be told apart.
      */
     boolean hasRoom(List<InFlightTransmission> call, int maxParts) {
         return !isClosed
+                && !isComingUpLate
                 && !isBlocked()
                 && load() + call.size() <= maxParts
                 && call.stream()
@@ -333,6 +342,8 @@
     private void writeWaiting() {
         if (!isClosed) {
             isUp = true;
+            isComingUpLate = false;
+            lastUsedAt = client.loop.enterPass();
             writesOnceUp.forEach(Runnable::run);
             writesOnceUp.clear();
         }
@@ -457,13 +468,30 @@
         client.loop.enterPass();
         frames.connectionEnded();
         client.remove(this, awaitedTransmissions > 0);
+        endAllInFlight();
+        lastAnswered = null;
+        countMemory();
+    }
+
+    /**
+     * Ends all that waits for the connection, as it has not come up in time. It goes on coming up
+     * for later calls: a handshake that is slow each time would else never end.
+     */
+    void connectTimeoutExceeded() {
+        isComingUpLate = true;
+        if (awaitedTransmissions > 0) {
+            pool.connectionBroke(client.loop.enterPass());
+        }
+        endAllInFlight();
+        awaitedTransmissions = 0;
+    }
+
+    private void endAllInFlight() {
         new ArrayList<>(inFlight.values()).forEach(client::connectionLost);
         probes.forEach(client::connectionLost);
         inFlight.clear();
         probes.clear();
         writesOnceUp.clear();
-        lastAnswered = null;
-        countMemory();
     }
 
     /** The name and the address of the node. */
--- a/src/test/java/gladewing/nodes/NodeClientTest.java
+++ b/src/test/java/gladewing/nodes/NodeClientTest.java
@@ -1,28 +1,16 @@
 package gladewing.nodes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gladewing.decisions.AcceptedMultiget;
-import gladewing.decisions.CallResult;
 import gladewing.decisions.Decisions;
 import gladewing.decisions.Transmission;
-import gladewing.events.RouterEvents;
-import gladewing.lifecycle.LifecycleRules;
 import gladewing.lifecycle.MemoryLimit;
-import gladewing.loop.Loop;
-import gladewing.router.NodeLoad;
 import gladewing.router.Span;
 import gladewing.router.Time;
 import gladewing.router.Trace;
 import gladewing.serve.ServeTestHarness.FakeDataNode;
-import gladewing.sockets.SocketFactory;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -32,136 +20,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
-import java.util.Queue;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Transmissions and probes over real connections to a data node that the test plays. */
-class NodeClientTest implements NodeEventListener, Loop.PassListener {
-    private static final Span LONG = Span.ofMillis(60_000);
-
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop thread = group.next();
-    private final BlockingQueue<String> endsReported = new LinkedBlockingQueue<>();
-    private final Queue<LifecycleRules.Violation> violations = new ConcurrentLinkedQueue<>();
-    private final Map<Transmission, String> values = new ConcurrentHashMap<>();
-    private final StringBuilder trace = new StringBuilder();
-    private NodeClient client;
+class NodeClientTest extends NodeClientHarness {
     private static final int PARTIAL_ANSWER_BYTES = 32 * 1024;
-    private MemoryLimit memory = new MemoryLimit(Long.MAX_VALUE);
-
-    @Override
-    public void passBegan(Time now) {}
-
-    @Override
-    public void passEnded() {}
-
-    @Override
-    public void transmissionEnded(
-            Transmission t, CallResult end, Span elapsed, String value, NodeLoad load) {
-        if (value != null) {
-            values.put(t, value);
-        }
-        endsReported.add(
-                t.multiget.id + "." + t.part + " " + end + (value == null ? "" : " " + value));
-    }
-
-    @Override
-    public String transmissionReopened(Transmission t) {
-        endsReported.add(t.multiget.id + "." + t.part + " reopened");
-        return values.get(t);
-    }
-
-    @Override
-    public void probeEnded(String node, CallResult end, NodeLoad load) {
-        endsReported.add(
-                "probe of " + node + " " + end + (load == null ? "" : " " + load.queuedParts()));
-    }
-
-    private void start(int maxConnections, boolean withdrawalsAllowed, Span idleTimeout)
-            throws Exception {
-        start(maxConnections, withdrawalsAllowed, idleTimeout, Span.ofMillis(2000));
-    }
-
-    private void start(
-            int maxConnections, boolean withdrawalsAllowed, Span idleTimeout, Span connectTimeout)
-            throws Exception {
-        run(
-                () -> {
-                    Loop loop = new Loop(thread);
-                    loop.start(this);
-                    Bootstrap bootstrap =
-                            new Bootstrap()
-                                    .group(thread)
-                                    .channelFactory(SocketFactory::newSocket)
-                                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
-                    client =
-                            new NodeClient(
-                                    loop,
-                                    (handler, address) ->
-                                            bootstrap.clone().handler(handler).connect(address),
-                                    new NodeClientOptions(
-                                            4,
-                                            2,
-                                            connectTimeout,
-                                            idleTimeout,
-                                            () -> maxConnections,
-                                            withdrawalsAllowed,
-                                            true),
-                                    memory,
-                                    this,
-                                    new RouterEvents(),
-                                    new LifecycleRules(violations::add));
-                });
-    }
-
-    /** Runs a task on the loop's thread and waits for its end. */
-    private void run(Runnable task) throws Exception {
-        thread.submit(task).get();
-    }
-
-    private void putNode(String node, int port) throws Exception {
-        putNode(node, port, 0);
-    }
-
-    private void putNode(String node, int port, long startedAtMillis) throws Exception {
-        run(() -> client.putNode(node, new InetSocketAddress("127.0.0.1", port), startedAtMillis));
-    }
-
-    private static Transmission to(String node, AcceptedMultiget multiget, int part, Span timeOut) {
-        return new Transmission(multiget, part, node, timeOut, 0, 0);
-    }
-
-    private void transmit(Transmission... transmissions) throws Exception {
-        run(() -> client.transmit(List.of(transmissions)));
-    }
-
-    private void addToTrace(String what, Object value) {
-        trace.append(what).append(": ").append(value).append('\n');
-    }
-
-    /** Waits for the end of the next transmission or probe, and records it. */
-    private void recordNextEnd() throws InterruptedException {
-        String end = endsReported.poll(30, TimeUnit.SECONDS);
-        assertNotNull(end, "the end of a transmission or probe");
-        addToTrace("end", end);
-    }
-
-    @AfterEach
-    void stop() {
-        assertEquals(List.of(), List.copyOf(violations));
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    }
 
     /**
      * Answers name the part and not the transmission. An answer that crosses the withdrawal must
