Give answers to a slow control service more time with each try

What callers saw: a control service that takes longer than answer-within for its response got the same answers posted for ever, and the router owed them.

Cause: each post had one fixed time, was dropped after it and begun anew. Ruled out: refused or wrongly signed answers.

--- a/src/main/java/gladewing/control/AnswerConnection.java
+++ b/src/main/java/gladewing/control/AnswerConnection.java
@@ -55,6 +55,10 @@
         }
     }
 
+    boolean hasEnded() {
+        return ended;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         context.channel().writeAndFlush(Unpooled.wrappedBuffer(request));
--- a/src/main/java/gladewing/control/ControlClient.java
+++ b/src/main/java/gladewing/control/ControlClient.java
@@ -14,7 +14,6 @@
 import gladewing.versions.VersionStatus;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -46,7 +45,6 @@
      */
     private static final Span NODE_LIST_SAVE_INTERVAL = Span.ofMillis(1000);
 
-    private static final int MAX_PENDING_ANSWERS = 64;
     private static final Span LOG_WINDOW = Span.ofMillis(1000);
     private static final int MAX_LOG_LINES_PER_WINDOW = 10;
 
@@ -61,7 +59,8 @@
     private final ControlMessageCodec codec;
     private final LongSupplier unixMillis;
     private final ReconnectBackoff watchBackoff;
-    private final ReconnectBackoff answerBackoff;
+    private final AnswerSender answers;
+
     private final ExecutorService worker = WorkerThread.start("control");
     private final CompiledVersion startupFiles;
     private CompiledVersion inForce;
@@ -86,11 +85,6 @@
     private long savedNodeListRevision;
     private Time nodeListSavedAt;
     private String storageProblem;
-    private final Map<String, VersionStatus> pendingAnswers = new LinkedHashMap<>();
-
-    /** Whether answers are being sent, or the wait after a failed attempt is not over. */
-    private boolean sendingAnswers;
-
     private Span longestApplyTime = Span.ZERO;
     private Time logWindowStart;
     private int logLinesInWindow;
@@ -127,8 +121,7 @@
         codec = new ControlMessageCodec(settings.maxMessageBytes());
         watchBackoff =
                 new ReconnectBackoff(settings.initialBackoff(), settings.maxBackoff(), seed ^ 1);
-        answerBackoff =
-                new ReconnectBackoff(settings.initialBackoff(), settings.maxBackoff(), seed ^ 2);
+        answers = new AnswerSender(loop, bootstrap, settings, name, codec, seed ^ 2);
         storageProblem = stateStore.problem();
     }
 
@@ -444,7 +437,7 @@
             save(now, null);
         }
         if (!saveInProgress && !savePending) {
-            sendAnswers();
+            answers.sendPending(rollout.inForce(), storageProblem == null);
         }
     }
 
@@ -556,66 +549,7 @@
 
     private void addAnswer(VersionStatus answer) {
         logLimited("version " + answer.epoch() + "." + answer.number() + ": " + answer);
-        String id =
-                answer.digest().isEmpty()
-                        ? answer.epoch() + "." + answer.number()
-                        : answer.digest();
-        pendingAnswers.remove(id);
-        pendingAnswers.put(id, answer);
-        while (pendingAnswers.size() > MAX_PENDING_ANSWERS) {
-            pendingAnswers.remove(pendingAnswers.keySet().iterator().next());
-        }
-    }
-
-    private void sendAnswers() {
-        if (sendingAnswers || pendingAnswers.isEmpty()) {
-            return;
-        }
-        sendingAnswers = true;
-        List<VersionStatus> reported =
-                pendingAnswers.values().stream()
-                        .map(a -> a.withPersisted(storageProblem == null))
-                        .toList();
-        String body = codec.encodeAnswers(name, rollout.inForce(), reported);
-        String key = settings.keys().newestName();
-        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        String head =
-                "POST /control/answers HTTP/1.1\r\nHost: "
-                        + settings.address().getHostString()
-                        + ":"
-                        + settings.address().getPort()
-                        + "\r\nContent-Type: application/json\r\nX-Control-Key: "
-                        + key
-                        + "\r\nX-Control-Mac: "
-                        + settings.keys().sign(key, body)
-                        + "\r\nContent-Length: "
-                        + bytes.length
-                        + "\r\n\r\n";
-        byte[] request = (head + body).getBytes(StandardCharsets.UTF_8);
-        List<VersionStatus> included = List.copyOf(pendingAnswers.values());
-        AnswerConnection connection =
-                new AnswerConnection(
-                        loop,
-                        request,
-                        why -> {
-                            if (why == null) {
-                                answerBackoff.reset();
-                                sendingAnswers = false;
-                                // Keeps an answer that has replaced one of these in the meantime.
-                                pendingAnswers.values().removeAll(included);
-                            } else {
-                                loop.schedule(
-                                        answerBackoff.nextDelay(), () -> sendingAnswers = false);
-                            }
-                        });
-        ChannelFuture connecting =
-                bootstrap.clone().handler(connection).connect(settings.address());
-        connection.setChannel(connecting.channel());
-        ConnectionAttempt.onFailure(
-                loop, connecting, cause -> connection.end("it can't be reached"));
-        loop.schedule(
-                settings.answerTimeout(),
-                () -> connection.end("no response within the time limit"));
+        answers.add(answer);
     }
 
     /**
@@ -638,7 +572,7 @@
                 .put("heard_s", seconds(now.since(lastMessageAt)))
                 .put("lasts", storageProblem == null)
                 .put("trouble", storageProblem == null ? "" : storageProblem)
-                .put("answers_owed", pendingAnswers.size())
+                .put("answers_owed", answers.pendingCount())
                 .put("longest_apply_ms", longestApplyTime.millis());
         return status.toString();
     }
--- a/src/test/java/gladewing/control/FakeControlService.java
+++ b/src/test/java/gladewing/control/FakeControlService.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,9 @@
     /** The HTTP status sent in response to answers; empty to send no response. */
     public volatile String answerStatus = "200 OK";
 
+    /** How long the response to answers takes. */
+    public volatile long answerDelayMillis;
+
     /** Signs with the key of this name, whose secret is {@link #secretOf}. */
     public FakeControlService(String keyName) throws Exception {
         this.keyName = keyName;
@@ -196,6 +200,7 @@
         } else {
             answers.add("an answer with a wrong signature");
         }
+        Thread.sleep(answerDelayMillis);
         if (!answerStatus.isEmpty()) {
             write(socket, "HTTP/1.1 " + answerStatus + "\r\nContent-Length: 0\r\n\r\n");
         }
@@ -214,6 +219,16 @@
         return this;
     }
 
+    /** Sends a line on the open watch in ten pieces, spread over a time. */
+    public synchronized void sendLineSlowly(String text, long millis)
+            throws IOException, InterruptedException {
+        byte[] line = (text + "\n").getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < 10; i++) {
+            sendBytes(Arrays.copyOfRange(line, line.length * i / 10, line.length * (i + 1) / 10));
+            Thread.sleep(millis / 10);
+        }
+    }
+
     public FakeControlService sendLine(String text) throws IOException {
         return sendBytes((text + "\n").getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/gladewing/serve/ControlServeTest.java
+++ b/src/test/java/gladewing/serve/ControlServeTest.java
@@ -433,4 +433,18 @@
                     line);
         }
     }
+
+    /** Guards against answers that are posted for ever, as the service takes long for each. */
+    @Test
+    void waitsForAServiceThatIsSlowToAcceptAnswers() throws Exception {
+        service = new FakeControlService("k1");
+        service.answerDelayMillis = 1500;
+        startWith("answer-within = 500ms");
+        service.sendLine(service.signedVersion(1, 1, ConfigKind.ROUTES, 1, turnAway("x")));
+        service.answersUntil("ack 1.1 good");
+        for (int i = 0; i < 100 && !versionPage().contains("\"answers_owed\":0"); i++) {
+            Thread.sleep(100);
+        }
+        assertTrue(versionPage().contains("\"answers_owed\":0"), versionPage());
+    }
 }
