Let the tests' control service respond before it shows an answer to the test

rejectsInvalidVersionsAndKeepsServingRequests failed once in a run of its class: the status page said "answers_owed":1 where 0 is wanted. Trace: the stand-in showed the answer to the test before it wrote its response, so the test could ask for the page before the router had the response. The stand-in responds first now; what the test expects is unchanged.

--- a/src/test/java/gladewing/control/FakeControlService.java
+++ b/src/test/java/gladewing/control/FakeControlService.java
@@ -174,6 +174,13 @@
                 new String(
                         new String(body).getBytes(StandardCharsets.ISO_8859_1),
                         StandardCharsets.UTF_8);
+        // Responds first: a test that has seen an answer relies on the router knowing that.
+        if (answerDelayMillis > 0) {
+            Thread.sleep(answerDelayMillis);
+        }
+        if (!answerStatus.isEmpty()) {
+            write(socket, "HTTP/1.1 " + answerStatus + "\r\nContent-Length: 0\r\n\r\n");
+        }
         if (keys.sign(keyName, text).equals(mac)) {
             codec.json()
                     .readTree(text)
@@ -200,10 +207,6 @@
         } else {
             answers.add("an answer with a wrong signature");
         }
-        Thread.sleep(answerDelayMillis);
-        if (!answerStatus.isEmpty()) {
-            write(socket, "HTTP/1.1 " + answerStatus + "\r\nContent-Length: 0\r\n\r\n");
-        }
     }
 
     private static void write(Socket socket, String text) throws IOException {
