Give a slow message of the control service more time on each connection

What callers saw: a version that takes longer than whole-within to arrive was never taken: the watch was closed half way, and the service sent it anew.

Cause: the same fixed time on each connection, with what had arrived thrown away. Found by reading for the class of the slow discovery.

Change: the time doubles after each message that ran out of it, up to eight times (GrowingTimeLimit). What stalls is still found by the time of silence.

Test: ControlServeTest.takesAVersionThatArrivesSlowerThanTheTimeOfOneMessage, red before (no answer within 30 s), green now.

--- a/src/main/java/gladewing/control/ControlClient.java
+++ b/src/main/java/gladewing/control/ControlClient.java
@@ -1,6 +1,7 @@
 package gladewing.control;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gladewing.lifecycle.GrowingTimeLimit;
 import gladewing.loop.Loop;
 import gladewing.loop.WorkerThread;
 import gladewing.router.Span;
@@ -61,6 +62,9 @@
     private final ReconnectBackoff watchBackoff;
     private final AnswerSender answers;
 
+    /** How long a message may stay incomplete. */
+    private final GrowingTimeLimit messageTimeLimit;
+
     private final ExecutorService worker = WorkerThread.start("control");
     private final CompiledVersion startupFiles;
     private CompiledVersion inForce;
@@ -122,6 +126,7 @@
         watchBackoff =
                 new ReconnectBackoff(settings.initialBackoff(), settings.maxBackoff(), seed ^ 1);
         answers = new AnswerSender(loop, bootstrap, settings, name, codec, seed ^ 2);
+        messageTimeLimit = new GrowingTimeLimit(settings.messageTimeout());
         storageProblem = stateStore.problem();
     }
 
@@ -405,7 +410,7 @@
         loop.schedule(TICK_INTERVAL, this::tick);
         Time now = loop.enterPass();
         if (watch != null) {
-            watch.checkTimeouts(now, settings.silenceTimeout(), settings.messageTimeout());
+            watch.checkTimeouts(now, settings.silenceTimeout(), messageTimeLimit);
         }
         rollout.dropExpired(unixMillis.getAsLong());
         boolean more = true;
--- a/src/test/java/gladewing/serve/ControlServeTest.java
+++ b/src/test/java/gladewing/serve/ControlServeTest.java
@@ -434,6 +434,32 @@
         }
     }
 
+    /**
+     * Guards against a version that never arrives, as it takes longer than one message may: each
+     * try that ran out of time gets the next one more.
+     */
+    @Test
+    void takesAVersionThatArrivesSlowerThanTheTimeOfOneMessage() throws Exception {
+        startWith("whole-within = 500ms");
+        String version = service.signedVersion(1, 1, ConfigKind.ROUTES, 1, turnAway("x"));
+        startDaemon(
+                () -> {
+                    try {
+                        while (true) {
+                            try {
+                                service.sendLineSlowly(version, 1800);
+                            } catch (IOException closed) {
+                                service.nextWatch();
+                            }
+                        }
+                    } catch (InterruptedException stopped) {
+                        throw new IOException(stopped);
+                    }
+                });
+        service.answersUntil("ack 1.1 good");
+        assertEquals("x", turnedAway("x"));
+    }
+
     /** Guards against answers that are posted for ever, as the service takes long for each. */
     @Test
     void waitsForAServiceThatIsSlowToAcceptAnswers() throws Exception {
