Queue no rereads of the configuration behind one that is slow

Found by reading for the class of the slow discovery: while discovery fails or is late, the configuration is read once a second, and a read repeats a failing call for two seconds, so that tasks piled up without a bound on the reader's thread, and SIGHUP waited for the same lock among them.

Change: SingleRunTask drops a request while a run waits or goes on.

--- a/src/main/java/gladewing/serve/RouterProcess.java
+++ b/src/main/java/gladewing/serve/RouterProcess.java
@@ -102,7 +102,8 @@
             }
             Executor configReader = WorkerThread.start("configuration");
             runtime.onDiscoveryFailure(
-                    () -> configReader.execute(() -> rereadConfig(configPath, thread, runtime)));
+                    new SingleRunTask(
+                            configReader, () -> rereadConfig(configPath, thread, runtime)));
             // Before the router is ready: without a handler, either signal ends the process at
             // once.
             Signal.handle(
