--- a/src/main/java/gladewing/discovery/DiscoveryWatcher.java
+++ b/src/main/java/gladewing/discovery/DiscoveryWatcher.java
@@ -200,7 +200,9 @@
         Time now = loop.enterPass();
         ListRevision.Question question = from.question();
         boolean hasNews = update.isSnapshot() || update.revision() != question.after();
-        calls.answered(from, now, hasNews).forEach(DiscoveryConnection::close);
+        // What this program stood still is not the agent's time.
+        Time arrivedAt = now.minus(loop.stallBeforePass());
+        calls.answered(from, arrivedAt, hasNews).forEach(DiscoveryConnection::close);
         logAnswer();
         ListRevision.Use use = revision.judge(question, update.revision(), update.isSnapshot());
         if (isKeptAlive && calls.mayCall(now)) {
