Give handshakes of an open session more time after each that failed

What callers saw: a session whose node takes longer than `opening` for each handshake got no new leg after its node had closed one, and was closed when its time without a leg was over.

Cause: the same fixed time for each handshake, dropped and begun anew. Ruled out: refused handshakes, the limit of their rate.

Change: SessionPlanner.handshakeTimeLimit doubles the time after each failure in a row, up to eight times; a new session is still refused after `opening`.

--- a/src/main/java/gladewing/sessionpolicy/SessionPlanner.java
+++ b/src/main/java/gladewing/sessionpolicy/SessionPlanner.java
@@ -28,6 +28,9 @@
     public static final int SERVICE_RESTART = 1012;
     public static final int TRY_AGAIN_LATER = 1013;
 
+    /** The time of a handshake grows to eight times that of the settings. */
+    private static final int MAX_HANDSHAKE_DOUBLINGS = 3;
+
     /** Drains with gaps of at most 30 s belong to one deploy. */
     private static final long DEPLOY_GAP = 30_000_000;
 
@@ -544,6 +547,16 @@
         return earliest;
     }
 
+    /**
+     * Returns the time in which the handshake of the session's next connection must end, in
+     * microseconds. After each that failed the next gets twice the time, up to eight times: one
+     * that is slow each time would else be begun anew until the session ends.
+     */
+    public long handshakeTimeLimit(Session session) {
+        return settings.openTimeout()
+                << Math.min(session.consecutiveFailures, MAX_HANDSHAKE_DOUBLINGS);
+    }
+
     /**
      * Returns the nodes that are likely to drain next. During a deploy these are the nodes that
      * started before it.
--- a/src/main/java/gladewing/sessionsockets/NodeSocket.java
+++ b/src/main/java/gladewing/sessionsockets/NodeSocket.java
@@ -95,7 +95,7 @@
                                 + 65_536);
         partialMessage = new PartialMessage(server.partialMessages, this::dropPartialMessage);
         server.random.nextBytes(nonce);
-        deadline = server.now() + server.settings.openTimeout();
+        deadline = server.now() + server.planner.handshakeTimeLimit(connection.session);
     }
 
     void open(Connector connector, InetSocketAddress endpoint) {
--- a/src/test/java/gladewing/serve/LiveServeTest.java
+++ b/src/test/java/gladewing/serve/LiveServeTest.java
@@ -392,6 +392,28 @@
         assertEquals("{\"shard\":0,\"ack\":3}", client.next());
     }
 
+    /**
+     * Guards against handshakes that are given up and begun anew until their session ends, as each
+     * takes longer than the time of one.
+     */
+    @Test
+    void keepsTheSessionWhenHandshakesAreSlowerThanTheTimeOfOne() throws Exception {
+        startWithSessions("back-off = 20ms\nopening = 500ms\nparked = 10s\n");
+        FakeSessionNode node = nodes.get(0);
+        SessionClient client = new SessionClient("/sheet/live?shards=0");
+        assertEquals("{\"shard\":0,\"resume\":0,\"sent\":0}", node.next());
+        node.handshakeMillis = 1200;
+        node.closeLegs(1001);
+        client.send(0, 1, "one");
+        String next = node.next();
+        while (next != null && !next.startsWith("{")) {
+            next = node.next();
+        }
+        assertEquals("{\"shard\":0,\"resume\":0,\"sent\":0}", next);
+        assertEquals("{\"shard\":0,\"n\":1,\"data\":\"one\"}", node.next());
+        assertEquals("{\"shard\":0,\"ack\":1}", client.next());
+    }
+
     /**
      * Beyond a limit, or without a node for its shards, a client gets 503 with Retry-After, instead
      * of an upgrade to a session that fails at once.
