Ask again within a second where discovery refuses calls beside a silent one

Change: a refused newest call is made again a second later; the growing pause is for earlier calls that fail beside later ones, as where a new connection ends the others. Lost calls give way once a second unless there is a queue.

Tests: OverlappingCallsTest (19), with a case for each; DiscoveryWatcherTest green.

--- a/src/main/java/gladewing/lifecycle/OverlappingCalls.java
+++ b/src/main/java/gladewing/lifecycle/OverlappingCalls.java
@@ -13,7 +13,7 @@
  *
  * <p>A service that answers in time has one call at a time. If each answer takes longer than the
  * one before, the service has a queue, and fewer calls are made beside others; if calls fail beside
- * others, none is for a while.
+ * later ones, none is for a while.
  *
  * @param <C> identifies a call
  */
@@ -154,6 +154,7 @@
         List<Waiting<C>> upToIt = waiting.subList(0, waiting.indexOf(answered) + 1);
         List<C> earlier = upToIt.stream().map(w -> w.call).filter(c -> c != call).toList();
         upToIt.clear();
+        notBefore = null;
         Span age = now.since(answered.madeAt);
         lastAnswerWasLate = age.longerThan(answered.allowance());
         recordLatency(hasNews ? age : Span.longest(Span.ZERO, age.minus(answered.hold)));
@@ -177,11 +178,15 @@
         }
     }
 
-    /** Records that a call has failed. */
+    /**
+     * Records that a call has failed. If an earlier call fails beside later ones, the service may
+     * have ended it because of them; if the newest does, it may have been refused.
+     */
     public void failed(C call, Time now) {
+        boolean wasNewest = newest().call == call;
         waiting.remove(find(call));
-        notBefore = now.plus(RETRY_DELAY);
-        if (!waiting.isEmpty()) {
+        notBefore = now.plus(waiting.isEmpty() ? RETRY_DELAY : SPACING);
+        if (!wasNewest) {
             pauseOverlap(now);
         }
     }
@@ -259,11 +264,12 @@
 
     /** When the next call is due if nothing happens until then. */
     private Time nextCallAt() {
+        Time due = notBefore == null ? new Time(Long.MIN_VALUE) : notBefore;
         if (waiting.isEmpty()) {
-            return notBefore == null ? new Time(Long.MIN_VALUE) : notBefore;
+            return due;
         }
-        Time due = newest().madeAt.plus(spacing());
-        return noOverlapBefore == null || noOverlapBefore.before(due) ? due : noOverlapBefore;
+        due = later(due, newest().madeAt.plus(spacing()));
+        return noOverlapBefore == null ? due : later(due, noOverlapBefore);
     }
 
     private boolean isFull() {
@@ -271,11 +277,11 @@
     }
 
     /**
-     * How long after the newest call another one is due. Where that takes the place of one that
-     * waits, the answers on the way are awaited first.
+     * How long after the newest call another one is due. Where a service with a queue is full, one
+     * that waits is given up for it, so the answers on the way are awaited first.
      */
     private Span spacing() {
-        if (isFull()) {
+        if (isFull() && window < MAX_WAITING) {
             return Span.longest(SPACING, Span.shortest(lastLatency.times(1.5), MAX_DELAY));
         }
         boolean isFirstOverlap = waiting.size() == 1 && !lastAnswerWasLate;
@@ -293,6 +299,10 @@
         return next.before(now) ? Span.ZERO : next.since(now);
     }
 
+    private static Time later(Time a, Time b) {
+        return a.before(b) ? b : a;
+    }
+
     private static Time earlier(Time a, Time b) {
         return a.before(b) ? a : b;
     }
--- a/src/test/java/gladewing/lifecycle/OverlappingCallsTest.java
+++ b/src/test/java/gladewing/lifecycle/OverlappingCallsTest.java
@@ -96,12 +96,14 @@
         assertEquals(1, calls.waitingCalls().size());
     }
 
-    /** A service that was silent and is slow then is heard, though lost calls keep places. */
+    /** A slow service that was silent is heard, though lost calls keep places. */
     @Test
-    void aServiceThatWasSilentAndIsSlowIsHeard() {
-        play(0, 20_000, now -> Long.MAX_VALUE);
-        play(20_000, 40_000, now -> now + 5000);
-        assertTrue(answeredAt.get(0) <= 26_010, "answered at " + answeredAt.get(0));
+    void aSlowServiceThatWasSilentIsHeard() {
+        play(0, 20_000, now -> now + 5000);
+        play(20_000, 40_000, now -> Long.MAX_VALUE);
+        answeredAt.clear();
+        play(40_000, 60_000, now -> now + 5000);
+        assertTrue(answeredAt.get(0) <= 46_010, "answered at " + answeredAt.get(0));
     }
 
     /** Guards against a queue of our own: a service that serves one call at a time. */
@@ -124,21 +126,49 @@
         assertTrue(answeredAt.size() >= 120_000 / serviceTime - 10, answeredAt.size() + " answers");
     }
 
-    /** After a call failed beside others, none is made beside others for a while. */
+    /** Guards against a call that every later one ends: none is made beside it for a while. */
     @Test
-    void callsDoNotOverlapAfterOneFailedBesideOthers() {
+    void callsDoNotOverlapAfterAnEarlierOneFailed() {
         Call first = new Call(0, 0);
         Call second = new Call(1600, 0);
+        Call third = new Call(2600, 0);
         calls.begin(first, at(0), HOLD);
         assertFalse(calls.mayCall(at(1590)));
         assertTrue(calls.mayCall(at(1600)));
         calls.begin(second, at(1600), HOLD);
-        calls.failed(second, at(1700));
+        calls.failed(first, at(1700));
         assertFalse(calls.mayCall(at(3690)));
         assertTrue(calls.mayCall(at(3700)));
-        calls.failed(first, at(3700));
-        assertFalse(calls.mayCall(at(3790)));
-        assertTrue(calls.mayCall(at(3800)));
+        calls.begin(third, at(3700), HOLD);
+        calls.failed(second, at(3800));
+        assertFalse(calls.mayCall(at(7790)));
+        assertTrue(calls.mayCall(at(7800)));
+    }
+
+    /**
+     * Guards against a service that is back and not asked: while an earlier call is silent, others
+     * are refused, and the next one comes a second later each time.
+     */
+    @Test
+    void aRefusedCallIsRepeatedWithinASecond() {
+        calls.begin(new Call(0, 0), at(0), HOLD);
+        for (long now = 1600; now < 20_000; now += 1000) {
+            assertFalse(calls.mayCall(at(now - 10)), "at " + now);
+            assertTrue(calls.mayCall(at(now)), "at " + now);
+            Call refused = new Call(now, 0);
+            calls.begin(refused, at(now), HOLD);
+            calls.failed(refused, at(now));
+        }
+    }
+
+    /** A call that failed alone is repeated at once. */
+    @Test
+    void aCallThatFailedAloneIsRepeatedAtOnce() {
+        Call call = new Call(0, 0);
+        calls.begin(call, at(0), HOLD);
+        calls.failed(call, at(50));
+        assertFalse(calls.mayCall(at(140)));
+        assertTrue(calls.mayCall(at(150)));
     }
 
     /** An answer ends the earlier calls; the later ones go on waiting. */
